--- /dev/null
+++ b/marblestair/core/__init__.py
@@ -0,0 +1,1 @@
+"""The pure core: state machines that take inputs and return what to send, write and answer."""
--- /dev/null
+++ b/marblestair/core/authority.py
@@ -0,0 +1,327 @@
+"""Who may act for which part: leases, the followed view, takeovers and hand-backs.
+
+A node acts for a part only while its state lease surely holds, the split record names it, and
+its view includes the commit that made it owner. The lease is counted from when the renewal was
+sent, on the node's own steady clock, less an allowance for drift.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marblestair.core import keys, split
+from marblestair.core.calls import (
+    LEASE,
+    Commit,
+    Get,
+    LeaseGrant,
+    LeaseRenew,
+    ListKeys,
+    Put,
+    Sleep,
+    StateResult,
+    Watch,
+)
+from marblestair.core.flow import Flow, Step
+from marblestair.core.part import DRIFT, Part
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: a node's lease against the workers' lease: a takeover must finish before theirs run out
+LEASE_RATIO = 0.4
+#: a node that has to be out of touch with its machines this long gives its parts away
+ISOLATED = 0.35
+#: a node must have been seen this many leases before it is given a part back
+SETTLE = 1.5
+
+
+class Authority:
+    """Leases and ownership of one node."""
+
+    def __init__(self, c: Controller) -> None:
+        self.c = c
+        workers = c.settings.cluster.workers
+        self.ttl = min(600.0, max(0.5, workers.lease_s * LEASE_RATIO))
+        self.until = -1e9
+        #: revision of the commit that put this node's key; the view must include it
+        self.key_rev = 0
+        self.lease: int | None = None
+        self.booted = False
+        #: part -> a term that this node itself raised while it went on acting
+        self.raised: dict[int, int] = {}
+        self._taking = False
+        self._absent: dict[int, float] = {}
+        #: when each other node's present incarnation was first seen
+        self.seen_since: dict[str, tuple[int, float]] = {}
+        self._last_given = -1e9
+        self._pause = 1.0
+
+    # --- what holds ------------------------------------------------------------------------
+
+    def holds(self, now: float) -> bool:
+        """Whether this node's lease surely holds and its view is recent enough to act on."""
+        c = self.c
+        return (
+            now < self.until
+            and c.view.rev >= self.key_rev
+            and now - c.view.fresh_at < c.settings.cluster.workers.lease_s
+        )
+
+    def acts(self, part: Part | None, now: float) -> bool:
+        """Whether this node may act for a part."""
+        return part is not None and part.ready and not part.closing and self.holds(now)
+
+    # --- flows -----------------------------------------------------------------------------
+
+    def boot(self) -> Flow:
+        """Load the view, then follow it and keep a lease."""
+        yield from self._load()
+        self.booted = True
+        self.c.spawn(self._follow())
+        self.c.spawn(self._keep_lease())
+
+    def _load(self) -> Step:
+        c = self.c
+        while True:
+            items = []
+            after, first_rev = "", None
+            sent = c.now
+            while True:
+                r: StateResult = yield ListKeys(keys.VIEW, after, 1000, LEASE)
+                if r.status != 200:
+                    break
+                if first_rev is None:
+                    # Changes after the first page come by the watch; versions settle overlaps.
+                    first_rev = r.rev
+                items += r.items
+                if not r.more or not r.items:
+                    break
+                after = r.items[-1].key
+            if r.status == 200 and first_rev is not None:
+                c.view.load(items, first_rev)
+                c.view.rev = first_rev if c.view.rev < first_rev else c.view.rev
+                c.view.fresh_at = sent
+                c.sync()
+                return
+            yield Sleep(0.3 + 0.4 * c.rng.random())
+
+    def _follow(self) -> Flow:
+        c = self.c
+        wait_ms = int(self.ttl * 500)
+        while True:
+            sent = c.now
+            r: StateResult = yield Watch(keys.VIEW, c.view.rev, wait_ms)
+            if r.status == 200:
+                c.view.apply(r.events, r.rev)
+                c.view.fresh_at = max(c.view.fresh_at, sent)
+                c.sync()
+                yield Sleep(max(0.0, sent + 0.15 - c.now))
+            elif r.status == 410:
+                yield from self._load()
+            else:
+                yield Sleep(0.2 + 0.3 * c.rng.random())
+
+    def _keep_lease(self) -> Flow:
+        c = self.c
+        key = keys.NODES + c.node
+        while True:
+            sent = c.now
+            if self.lease is None:
+                r: StateResult = yield LeaseGrant(int(self.ttl * 1000))
+                if r.status == 200:
+                    put = Commit([], [Put(key, c.incarnation, r.lease)], lane=LEASE)
+                    done: StateResult = yield put
+                    if done.status == 200:
+                        self.lease = r.lease
+                        # Authority counts only once the view includes this commit: while the
+                        # key was missing, another node may have taken the parts.
+                        self.key_rev = done.rev
+                        c.view.committed(put, done.rev)
+                        self._extend(sent)
+                        c.sync()
+            else:
+                r = yield LeaseRenew(self.lease)
+                if r.status == 200:
+                    self._extend(sent)
+                elif r.status == 404:
+                    self.lease = None
+                    continue
+            pause = self.ttl / 4 if r.status == 200 else self.ttl / 12
+            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+
+    def _extend(self, sent: float) -> None:
+        self.until = max(self.until, sent + self.ttl * (1 - DRIFT) - 0.05)
+
+    # --- ownership -------------------------------------------------------------------------
+
+    def tick(self, now: float) -> None:
+        """Take what is orphaned, give back what is too much."""
+        c = self.c
+        for node, inc in c.view.nodes.items():
+            if self.seen_since.get(node, (None, 0.0))[0] != inc:
+                self.seen_since[node] = (inc, now)
+        if not self.booted or self._taking or not self.holds(now):
+            return
+        s = c.view.split
+        if s is None:
+            self._taking = True
+            c.spawn(self._create())
+            return
+        mine = [i for i, p in enumerate(s.parts) if (p.owner, p.incarnation) == c.me]
+        take: list[int] = []
+        guards: list[tuple[str, int]] = []
+        for i, p in enumerate(s.parts):
+            if (p.owner, p.incarnation) == c.me:
+                self._absent.pop(i, None)
+                continue
+            key = keys.NODES + p.owner
+            if p.owner == c.node:
+                # This node's earlier process held it, and that process is dead.
+                take.append(i)
+                continue
+            if p.owner and c.view.nodes.get(p.owner) == p.incarnation:
+                self._absent.pop(i, None)
+                continue
+            since = self._absent.setdefault(i, now)
+            wait = 0.35 * (len(mine) + len(take)) + 0.15 * c.rng.random()
+            if not p.owner:
+                # A new deployment: leave each node time to take its own.
+                wait += 0.0 if c.home(i) == c.node else self.ttl
+            elif c.view.nodes.get(p.owner) is not None:
+                # Its node is back as a new process, which takes the part itself.
+                wait += self.ttl / 2
+            if now - since < wait:
+                continue
+            take.append(i)
+            if p.owner:
+                guards.append((key, c.view.version(key)))
+        if take:
+            self._taking = True
+            c.spawn(self._take(take, guards))
+        else:
+            self._give(now, mine)
+
+    def _create(self) -> Flow:
+        c = self.c
+        first = split.first(c.settings.cluster.size, c.settings.cluster.teams)
+        put = Commit([(keys.SPLIT, 0)], [Put(keys.SPLIT, first)], lane=LEASE)
+        r: StateResult = yield put
+        if r.status == 200:
+            c.view.committed(put, r.rev)
+        else:
+            yield Sleep(0.3)
+        self._taking = False
+
+    def _take(self, parts: list[int], guards: list[tuple[str, int]]) -> Flow:
+        c = self.c
+        s = c.view.split
+        if s is not None:
+            new = split.take(s, parts, c.node, c.incarnation)
+            own = keys.NODES + c.node
+            ok = yield from self.commit_split(
+                new, parts, [*guards, (own, c.view.version(own))], c.view.version(keys.SPLIT)
+            )
+            c.log("info", f"took parts {parts}: {ok}")
+        self._taking = False
+
+    def commit_split(
+        self,
+        new: split.SplitRecord,
+        fenced: list[int],
+        guards: list[tuple[str, int]],
+        version: int,
+    ) -> Step:
+        """Commit a new split record; ``fenced`` parts get a new owner. True, False or None
+        (it may yet be applied)."""
+        c = self.c
+        puts = [Put(keys.SPLIT, new)]
+        puts += [Put(f"{keys.FENCES}{i}", new.parts[i].term) for i in fenced]
+        commit = Commit([(keys.SPLIT, version), *guards], puts, lane=LEASE)
+        r: StateResult = yield commit
+        if r.status == 200:
+            c.view.committed(commit, r.rev)
+            c.sync()
+            return True
+        if r.status == 409:
+            yield from self.refresh_split()
+            return False
+        return None if r.status == 0 else False
+
+    def refresh_split(self) -> Step:
+        """Read the split record afresh."""
+        c = self.c
+        r: StateResult = yield Get(keys.SPLIT, LEASE)
+        if r.status == 200:
+            c.view.take_in(keys.SPLIT, r.value, r.version)
+            c.sync()
+            return True
+        return False
+
+    def _give(self, now: float, mine: list[int]) -> None:
+        """Hand parts back to nodes that have none, or away when the machines are out of reach."""
+        c = self.c
+        s = c.view.split
+        if s is None or now - self._last_given < self._pause:
+            return
+        owned = {n: 0 for n in c.view.nodes}
+        for p in s.parts:
+            if p.owner in owned:
+                owned[p.owner] += 1
+        heard = [n for n in owned if n != c.node and now - c.heard.get(n, -1e9) < 3.0]
+        movable = [i for i in mine if c.acts(i) and now - c.parts[i].since > self.ttl]
+        if c.isolated(now):
+            others = [n for n in owned if n != c.node]
+            if others and movable:
+                target = min(others, key=lambda n: (owned[n], n))
+                c.log("info", f"out of touch with the machines: giving part to {target}")
+                self._hand(movable[-1], target, now)
+            return
+        if len(mine) < 2 or not movable:
+            return
+        for n in sorted(heard):
+            since = self.seen_since.get(n, (0, now))[1]
+            if owned[n] == 0 and now - since > SETTLE * self.ttl:
+                part = next((i for i in movable if c.home(i) == n), movable[-1])
+                self._hand(part, n, now)
+                return
+
+    def _hand(self, part: int, target: str, now: float) -> None:
+        # Each hand-over doubles the pause before the next, so that a flapping node does not
+        # move parts every time.
+        quiet = now - self._last_given > 20 * self.ttl
+        self._pause = 1.0 if quiet else min(2 * self._pause, 10 * self.ttl)
+        self._last_given = now
+        self.c.spawn(self._hand_over(part, target))
+
+    def _hand_over(self, number: int, target: str) -> Flow:
+        c = self.c
+        part = c.parts.get(number)
+        if part is None or part.closing:
+            return
+        # From here on this node does not act for the part: the commit may be applied any time.
+        part.closing = True
+        doubt = -1
+        tries = 0
+        while c.parts.get(number) is part and c.view.split is not None:
+            version = c.view.version(keys.SPLIT)
+            inc = c.view.nodes.get(target)
+            tries += 1
+            if inc is None or tries > 20:
+                if doubt != version:
+                    # Nothing that was sent can be applied any more: the split has moved on.
+                    part.closing = False
+                    return
+                # Take the part anew, so that the commit in doubt cannot be applied late.
+                target = c.node
+                inc = c.incarnation
+            new = split.take(c.view.split, [number], target, inc)
+            key = keys.NODES + target
+            guards = [(key, c.view.version(key)), c.fence(number)]
+            ok = yield from self.commit_split(new, [number], guards, version)
+            if ok:
+                return
+            if ok is None:
+                doubt = version
+                yield from self.refresh_split()
+            yield Sleep(0.1 + 0.2 * c.rng.random())
--- /dev/null
+++ b/marblestair/core/controller.py
@@ -0,0 +1,466 @@
+"""The controller: composes authority, parts, the jobs' managers and the fleet.
+
+Pure: every input carries the time, every output is collected for the shell to carry out. Nothing
+here does I/O, reads a clock or uses global randomness.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.authority import ISOLATED, Authority
+from marblestair.core.calls import Sleep
+from marblestair.core.fleet import Fleet
+from marblestair.core.flow import Flow, Runner
+from marblestair.core.jobs import Jobs
+from marblestair.core.model import GANG, MachineType, Order, Report
+from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.placement import place_array, place_gang
+from marblestair.core.progress import keep_progress, load_progress
+from marblestair.core.shares import order_key, within_guarantee
+from marblestair.core.view import View
+from marblestair.settings import Settings, Team
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Final answer to a user's request."""
+
+    request: int
+    status: int
+    job: str = ""
+    state: str = ""
+    done: int | None = None
+    running: int | None = None
+    error: str = ""
+    retry_after: int = 0
+
+
+class Command(msgspec.Struct, frozen=True):
+    """Orders to send straight to a worker."""
+
+    addr: str
+    token: int
+    session: int
+    orders: list[Order]
+
+
+class Note(msgspec.Struct, frozen=True):
+    """A one-way message to another controller."""
+
+    node: str
+    tag: str
+    args: list[Any]
+
+
+class Gossip(msgspec.Struct, array_like=True):
+    """What a node tells the others about one of its parts."""
+
+    part: int
+    term: int
+    free: int
+    total: int
+    backlog: int
+    #: team -> cpus and gpus that waiting tasks lack in this part's share
+    wants: dict[str, list[int]]
+    #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
+    #: it is too small for
+    stuck: dict[str, list[int]]
+
+
+class Controller:
+    """One node's whole state; see the module's page for how it is driven."""
+
+    def __init__(
+        self, settings: Settings, incarnation: int, rng: random.Random, now: float, wall: float
+    ) -> None:
+        self.settings = settings
+        self.node = settings.node
+        self.incarnation = incarnation
+        self.me = (settings.node, incarnation)
+        self.rng = rng
+        self.now = now
+        self.wall = wall
+        self.started = now
+        self.teams: dict[str, Team] = {t.name: t for t in settings.cluster.teams}
+        self.runner = Runner()
+        self.runner.on_error = self._flow_error
+        self.replies: list[Reply] = []
+        self.commands: list[Command] = []
+        self.notes: list[Note] = []
+        self.peer_replies: list[tuple[int, Any]] = []
+        self.lines: list[tuple[str, str]] = []
+        self.view = View()
+        self.parts: dict[int, Part] = {}
+        self.types: dict[str, MachineType] = {}
+        self.guaranteed: set[str] = set()
+        #: per class: measured run time against the estimate
+        self.factor: dict[str, float] = {}
+        self.gossip: dict[int, tuple[float, Gossip]] = {}
+        self.heard: dict[str, float] = {}
+        #: room lowered ahead of a commit that gives it to another part
+        self.lowered: dict[tuple[int, str], list[int]] = {}
+        self.authority = Authority(self)
+        self.jobs = Jobs(self)
+        self.fleet = Fleet(self)
+        self._next_slow = now
+        self._dirty_place = True
+
+    # --- plumbing --------------------------------------------------------------------------
+
+    def log(self, level: str, text: str) -> None:
+        """Leave a line for the log."""
+        self.lines.append((level, text))
+
+    def _flow_error(self, e: BaseException) -> None:
+        self.log("error", f"a flow ended by {type(e).__name__}: {e}")
+
+    def spawn(self, flow: Flow) -> None:
+        """Start a flow."""
+        self.runner.spawn(flow)
+
+    def start(self) -> None:
+        """Begin: load the view, take a lease."""
+        self.runner.now = self.now
+        self.spawn(self.authority.boot())
+        self.spawn(self.fleet.learn_types())
+        self.spawn(self.fleet.keep_list())
+
+    def set_time(self, now: float, wall: float) -> None:
+        """Every input comes with the time."""
+        self.now = now
+        self.wall = wall
+        self.runner.now = now
+
+    def complete(self, call: int, result: Any) -> None:
+        """A call of a flow was answered."""
+        self.runner.complete(call, result)
+
+    def home(self, part: int) -> str:
+        """The node that a part belongs to when all are well."""
+        nodes = self.settings.nodes
+        return nodes[part % len(nodes)]
+
+    def fence(self, part: int) -> tuple[str, int]:
+        """Guard that fails once the part has another owner."""
+        key = f"{keys.FENCES}{part}"
+        return key, self.view.version(key)
+
+    def owner(self, part: int) -> str | None:
+        """Node that owns a part, as far as the view tells."""
+        s = self.view.split
+        if s is None or not 0 <= part < len(s.parts):
+            return None
+        return s.parts[part].owner or None
+
+    def acts(self, number: int) -> bool:
+        """Whether this node may act for a part now."""
+        return self.authority.acts(self.parts.get(number), self.now)
+
+    def acting(self) -> list[Part]:
+        """Parts this node may act for now."""
+        return [p for i, p in sorted(self.parts.items()) if self.acts(i)]
+
+    def healthy(self) -> bool:
+        """Whether this node can take requests."""
+        if not self.authority.booted:
+            return False
+        return not self.isolated(self.now)
+
+    def isolated(self, now: float) -> bool:
+        """Whether the machines of this node's parts have fallen silent while the state service
+        still answers: the sign of a node that is cut off from everything else."""
+        limit = max(
+            ISOLATED * self.settings.cluster.workers.lease_s,
+            2.5 * self.settings.cluster.workers.report_s,
+        )
+        known = [
+            m
+            for p in self.parts.values()
+            if p.ready
+            for m in p.machines.values()
+            if m.settled and not m.condemned and not m.releasing
+        ]
+        if not known or now - max(m.seen for m in known) < limit:
+            return False
+        peers = [n for n in self.view.nodes if n != self.node]
+        deaf = all(now - self.heard.get(n, self.started) > limit for n in peers)
+        return bool(peers) and (deaf or len(known) > 1)
+
+    # --- following the view ----------------------------------------------------------------
+
+    def sync(self) -> None:
+        """Bring parts, machines and jobs in line with the view."""
+        v = self.view
+        if v.changed_split:
+            v.changed_split = False
+            self._sync_parts()
+        if v.changed_machines:
+            names, v.changed_machines = v.changed_machines, set()
+            for name in sorted(names):
+                self._sync_machine(name)
+        if v.changed_jobs:
+            ids, v.changed_jobs = v.changed_jobs, set()
+            for job in sorted(ids):
+                for p in self.parts.values():
+                    if p.ready:
+                        self._sync_slice(p, job)
+                self.jobs.changed(job)
+            self.guaranteed = within_guarantee(v.jobs, self.teams)
+            self._dirty_place = True
+
+    def _sync_parts(self) -> None:
+        s = self.view.split
+        if s is None:
+            return
+        for i, rec in enumerate(s.parts):
+            part = self.parts.get(i)
+            if (rec.owner, rec.incarnation) == self.me:
+                if part is None or part.term != rec.term:
+                    if part is not None and part.ready and not part.closing:
+                        if self.authority.raised.get(i) == rec.term:
+                            # Own rise of the term: nobody else acted in between.
+                            part.term = rec.term
+                            continue
+                    part = Part(i, rec.term, self.settings.cluster, self.now)
+                    self.parts[i] = part
+                    self.spawn(self._populate(part, self.view.version(keys.SPLIT)))
+            elif part is not None:
+                del self.parts[i]
+                self.log("info", f"part {i} is now with {rec.owner}, term {rec.term}")
+        self.jobs.parts_changed()
+
+    def _populate(self, part: Part, rev: int) -> Flow:
+        # Everything committed before the takeover must be in the view first: jobs, cancels,
+        # machines.
+        while self.view.rev < rev:
+            yield Sleep(0.02)
+            if self.parts.get(part.number) is not part:
+                return
+        pages = yield from load_progress(self, part)
+        if pages is None:
+            return
+        now = self.now
+        for name, m in self.view.machines.items():
+            if m.part == part.number:
+                self._sync_machine(name, part)
+                part.suspects.add(name)
+        for job in self.view.jobs:
+            self._sync_slice(part, job, part)
+        for job, numbered in pages.items():
+            s = part.slices.get(job)
+            for page, (bits, version) in numbered.items():
+                if s is None:
+                    part.trash.append(keys.progress(part.number, job, page))
+                    continue
+                s.pages[page] = version
+                s.load_done(page, bits)
+        for s in part.slices.values():
+            s.suspect = bool(part.suspects)
+        part.ready = True
+        self.log(
+            "info",
+            f"part {part.number} ready, term {part.term}: {len(part.machines)} machines,"
+            f" {len(part.slices)} jobs, {now - part.since:.2f} s after the takeover",
+        )
+        self.jobs.parts_changed()
+        self.spawn(keep_progress(self, part))
+        self.spawn(self.fleet.keep_part(part))
+
+    def _sync_machine(self, name: str, populating: Part | None = None) -> None:
+        rec = self.view.machines.get(name)
+        for p in self.parts.values():
+            if not p.ready and p is not populating:
+                continue
+            m = p.machines.get(name)
+            if rec is None or rec.part != p.number:
+                if m is not None:
+                    p.remove_machine(name, self.now)
+                    self._dirty_place = True
+            elif m is None:
+                m = Machine(name, rec.type, rec.zone, rec.spot, self.now)
+                m.set_type(self.types.get(rec.type))
+                p.add_machine(m)
+
+    def _sync_slice(self, p: Part, job: str, populating: Part | None = None) -> None:
+        s = p.slices.get(job)
+        rec = self.view.jobs.get(job)
+        if rec is None and s is not None:
+            p.trash += [keys.progress(p.number, job, page) for page in s.pages]
+        p.sync_job(rec, job, self.view.version(keys.JOBS + job), self.now)
+
+    def set_types(self, types: list[MachineType]) -> None:
+        """Learn the machine types."""
+        self.types = {t.name: t for t in types}
+        for p in self.parts.values():
+            for m in p.machines.values():
+                m.set_type(self.types.get(m.type_name))
+
+    # --- shares ----------------------------------------------------------------------------
+
+    def share(self, part: Part, team: str) -> tuple[int, int]:
+        """What the team's tasks may use in this part."""
+        s = self.view.split
+        if s is None:
+            return 0, 0
+        c, g = s.parts[part.number].shares.get(team, [0, 0])
+        low = self.lowered.get((part.number, team), [0, 0])
+        return c - low[0], g - low[1]
+
+    # --- workers ---------------------------------------------------------------------------
+
+    def report(self, rep: Report) -> tuple[int, int, list[Order], str | None]:
+        """A worker's report: status, token, orders, and the node to report to."""
+        now = self.now
+        rec = self.view.machines.get(rep.machine)
+        if rec is None:
+            return self.fleet.stranger(rep)
+        owner = self.owner(rec.part)
+        if owner != self.node:
+            return 421, 0, [], owner
+        part = self.parts.get(rec.part)
+        if part is None or not self.acts(rec.part):
+            return 503, 0, [], None
+        m = part.machines.get(rep.machine)
+        if m is not None and m.type is None:
+            m.set_type(self.types.get(m.type_name))
+        before = m.settled if m is not None else False
+        free = list(m.free) if m is not None else []
+        if rep.token > part.term:
+            return 421, 0, [], None
+        orders = part.report(rep, now)
+        if orders is None:
+            return 503, 0, [], None
+        if part.finished:
+            self._learn(part)
+        if m is not None and (m.settled != before or m.free != free):
+            # Room has come up: fill it with this very answer rather than the next one.
+            self._place(part)
+        if m is not None:
+            orders += part.launches(m, now)
+        return 200, part.term, orders, None
+
+    def _learn(self, part: Part) -> None:
+        for spec, ran in part.finished:
+            if spec.estimate_s > 0:
+                old = self.factor.get(spec.cls, 1.0)
+                self.factor[spec.cls] = old + 0.02 * (min(5.0, ran / spec.estimate_s) - old)
+        part.finished.clear()
+
+    # --- placement -------------------------------------------------------------------------
+
+    def ordered(self, part: Part) -> list[Slice]:
+        """The part's slices with pending tasks, in the order in which they are served."""
+        wall, f = self.wall, self.factor
+        waiting = [s for s in part.slices.values() if len(s.pending) and not s.cancelled]
+        waiting.sort(
+            key=lambda s: order_key(
+                s.spec, s.spec.id in self.guaranteed, wall, f.get(s.spec.cls, 1.0)
+            )
+        )
+        return waiting
+
+    def _place(self, part: Part) -> None:
+        now = self.now
+        for s in self.ordered(part):
+            if s.suspect or now < s.not_before:
+                continue
+            share = self.share(part, s.spec.team)
+            if s.spec.kind == GANG:
+                place_gang(part, s, share, now)
+            else:
+                place_array(part, s, share, now, self.rng)
+
+    # --- time ------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        """To be called a few times a second."""
+        now = self.now
+        self.runner.wake(now)
+        self.sync()
+        self.authority.tick(now)
+        acting = self.acting()
+        for p in acting:
+            p.tick(now)
+            self._place(p)
+            for m, orders in p.direct_stops(now):
+                self.commands.append(Command(m.addr, p.term, m.session, orders))
+            self.fleet.guard_cancels(p)
+        self.jobs.tick()
+        if now >= self._next_slow:
+            self._next_slow = now + 1.0
+            self._tell(acting)
+            self.jobs.rebalance(acting)
+
+    def _tell(self, acting: list[Part]) -> None:
+        told = []
+        for p in acting:
+            g = self.measure(p)
+            self.gossip[p.number] = (self.now, g)
+            told.append(msgspec.to_builtins(g))
+        for peer in self.settings.others:
+            self.notes.append(Note(peer.node, "gossip", [self.incarnation, told]))
+
+    def measure(self, p: Part) -> Gossip:
+        """What the others should know about a part."""
+        free = total = backlog = 0
+        for m in p.machines.values():
+            if m.type is not None and not (m.draining or m.condemned or m.releasing or m.silent):
+                free += m.free[0]
+                total += m.type.size[0]
+        wants: dict[str, list[int]] = {}
+        stuck: dict[str, list[int]] = {}
+        for s in p.slices.values():
+            n = len(s.pending)
+            if not n or s.cancelled:
+                continue
+            backlog += n * s.need[0]
+            w = wants.setdefault(s.spec.team, [0, 0])
+            w[0] += n * s.need[0]
+            w[1] += n * s.need[1]
+            unit = n if s.spec.kind == GANG else 1
+            share = self.share(p, s.spec.team)
+            if unit * s.need[0] > share[0] or unit * s.need[1] > share[1]:
+                stuck.setdefault(s.spec.team, [unit * s.need[0], unit * s.need[1]])
+        for team, w in wants.items():
+            used, share = p.usage(team), self.share(p, team)
+            for i in range(2):
+                w[i] = max(0, w[i] - max(0, share[i] - used[i]))
+        wants = {t: w for t, w in wants.items() if w[0] or w[1]}
+        return Gossip(p.number, p.term, free, total, backlog, wants, stuck)
+
+    # --- peers -----------------------------------------------------------------------------
+
+    def note(self, node: str, tag: str, args: list[Any]) -> None:
+        """A one-way message from another node."""
+        self.heard[node] = self.now
+        try:
+            if tag == "gossip":
+                for raw in args[1]:
+                    g = msgspec.convert(raw, Gossip)
+                    self.gossip[g.part] = (self.now, g)
+            elif tag == "progress":
+                self.jobs.told(args)
+        except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
+            self.log("error", f"malformed {tag} from {node}: {e}")
+
+    def peer_request(self, request: int, node: str, tag: str, args: list[Any]) -> None:
+        """A question from another node; answered through ``peer_replies``."""
+        self.heard[node] = self.now
+        self.spawn(self._peer(request, tag, args))
+
+    def _peer(self, request: int, tag: str, args: list[Any]) -> Flow:
+        answer: Any = None
+        try:
+            if tag == "query":
+                answer = self.jobs.local_state(str(args[0]))
+            elif tag == "cancel":
+                answer = yield from self.jobs.cancel_here(str(args[0]))
+            elif tag == "apply":
+                answer = self.jobs.apply_cancel(str(args[0]), int(args[1]))
+        except (IndexError, TypeError, ValueError) as e:
+            self.log("error", f"malformed {tag}: {e}")
+        self.peer_replies.append((request, answer))
--- /dev/null
+++ b/marblestair/core/fleet.py
@@ -0,0 +1,348 @@
+"""The machines: types, renting, returning, strangers, and those that must go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.calls import (
+    FINAL,
+    SPLIT,
+    CloudDelete,
+    CloudList,
+    CloudRent,
+    CloudResult,
+    CloudTypes,
+    Commit,
+    Listed,
+    ListKeys,
+    Put,
+    Sleep,
+    StateResult,
+)
+from marblestair.core.flow import Flow, Step
+from marblestair.core.model import MachineType, Order, Report
+from marblestair.core.part import Machine, Part
+from marblestair.core.renting import Kind, Want, broken, choose, unmet
+from marblestair.core.split import MachineRecord
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: an idle machine is kept for this many of its boot times, but at least its paid minute
+IDLE_BOOTS = 1.5
+#: names in one release
+MAX_RELEASE = 100
+#: machines in one rental
+MAX_RENT = 8
+
+
+class Fleet:
+    """What this node does about machines."""
+
+    def __init__(self, c: Controller) -> None:
+        self.c = c
+        self.refused: dict[tuple[str, str, bool], float] = {}
+        self._adopting: set[str] = set()
+        self._returning: set[str] = set()
+        self._hires = 0
+
+    # --- types -----------------------------------------------------------------------------
+
+    def learn_types(self) -> Flow:
+        """Know the machine types, from the state service first: the cloud may be down."""
+        c = self.c
+        stored: dict[str, Any] = {}
+        while True:
+            r: StateResult = yield ListKeys(keys.TYPES, "", 1000)
+            if r.status == 200:
+                stored = {i.key[len(keys.TYPES) :]: i.value for i in r.items}
+                if stored:
+                    c.set_types([msgspec.convert(v, MachineType) for v in stored.values()])
+                break
+            yield Sleep(0.3 + 0.3 * c.rng.random())
+        while True:
+            got: CloudResult = yield CloudTypes()
+            if got.status == 200 and got.types:
+                c.set_types(got.types)
+                fresh = [t for t in got.types if t.name not in stored]
+                if fresh:
+                    batch = fresh[: c.settings.cluster.state.txn_ops]
+                    puts = [Put(keys.TYPES + t.name, t) for t in batch]
+                    done: StateResult = yield Commit([], puts, [], SPLIT)
+                    if done.status == 200:
+                        stored.update((t.name, t) for t in batch)
+                    yield Sleep(1.0)
+                    continue
+                yield Sleep(60.0 + 30.0 * c.rng.random())
+            else:
+                yield Sleep((5.0 if c.types else 0.8) * (0.8 + 0.4 * c.rng.random()))
+
+    # --- strangers -------------------------------------------------------------------------
+
+    def stranger(self, rep: Report) -> tuple[int, int, list[Order], str | None]:
+        """A report of a machine that belongs to no part."""
+        c = self.c
+        if rep.machine in c.view.gone or rep.machine in self._returning:
+            return 503, 0, [], None
+        acting = c.acting()
+        s = c.view.split
+        if not acting or s is None:
+            return 503, 0, [], None
+        if rep.tasks:
+            # Dropped from the split earlier, yet alive with tasks: it may not go on.
+            self._returning.add(rep.machine)
+            c.spawn(self._return_strangers([rep.machine]))
+            return 503, 0, [], None
+        count = [0] * len(s.parts)
+        for rec in c.view.machines.values():
+            count[rec.part] += 1
+        best = min(acting, key=lambda p: (count[p.number], p.number))
+        low = min(range(len(count)), key=lambda i: (count[i], i))
+        if count[best.number] > count[low] + 1:
+            return 421, 0, [], c.owner(low)
+        self.adopt(rep.machine, rep.type, rep.zone, rep.spot, best)
+        return 503, 0, [], None
+
+    def adopt(self, name: str, type_name: str, zone: str, spot: bool, part: Part) -> None:
+        """Take a machine that nobody has into a part."""
+        if name not in self._adopting:
+            self._adopting.add(name)
+            self.c.spawn(self._adopt(name, type_name, zone, spot, part))
+
+    def _adopt(self, name: str, type_name: str, zone: str, spot: bool, part: Part) -> Flow:
+        c = self.c
+        key = keys.MACHINES + name
+        rec = MachineRecord(part.number, type_name, zone, spot, round(c.wall, 1))
+        commit = Commit([(key, 0), c.fence(part.number)], [Put(key, rec)], [], SPLIT)
+        r: StateResult = yield commit
+        if r.status == 200:
+            c.view.committed(commit, r.rev)
+            c.sync()
+        self._adopting.discard(name)
+
+    def _return_strangers(self, names: list[str]) -> Flow:
+        r: CloudResult = yield CloudDelete(names)
+        if r.status != 200:
+            yield Sleep(1.0)
+        self._returning.difference_update(names)
+
+    def keep_list(self) -> Flow:
+        """Look through the cloud's list for machines that nobody has."""
+        c = self.c
+        lag = c.settings.cluster.cloud.list_lag_s
+        pause = max(2.0, 1.2 * lag)
+        while True:
+            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+            if not c.acts(0):
+                continue
+            listed = yield from self._list()
+            if listed is None or not c.acts(0):
+                continue
+            part = c.parts[0]
+            for m in listed:
+                known = m.name in c.view.machines or m.name in c.view.gone
+                # A rental under way is in nobody's part yet: leave its owner time to record it.
+                if known or m.name in self._adopting or m.age_s < 15.0 + 2 * lag:
+                    continue
+                if m.state == "failed":
+                    c.spawn(self._return_strangers([m.name]))
+                else:
+                    self.adopt(m.name, m.type, m.zone, m.spot, part)
+
+    def _list(self) -> Step:
+        out: list[Listed] = []
+        after = ""
+        while True:
+            r: CloudResult = yield CloudList(after)
+            if r.status != 200:
+                return None
+            out += r.listed
+            if not r.more or not r.listed:
+                return out
+            after = r.listed[-1].name
+
+    # --- a part's fleet --------------------------------------------------------------------
+
+    def keep_part(self, part: Part) -> Flow:
+        """Rent for the backlog, return what is idle or broken."""
+        c = self.c
+        c.spawn(self._finish_hires(part))
+        while c.parts.get(part.number) is part:
+            yield Sleep(0.8 + 0.4 * c.rng.random())
+            if not c.acts(part.number) or not c.types:
+                continue
+            now = c.now
+            gone = broken(part, c.settings.cluster.workers.lease_s, now)
+            for m in part.machines.values():
+                if m not in gone and not m.releasing and self._idle_too_long(part, m):
+                    gone.append(m)
+            if gone:
+                yield from self._release(part, gone[:MAX_RELEASE])
+                continue
+            want = self._want(part)
+            if want is not None:
+                yield from self._rent(part, want)
+
+    def _idle_too_long(self, part: Part, m: Machine) -> bool:
+        if m.placed or m.strays or m.idle_since is None or not m.session or m.type is None:
+            return False
+        now = self.c.now
+        return now - m.idle_since > IDLE_BOOTS * m.type.boot_s and now - m.added > 60.0
+
+    def _want(self, part: Part) -> Want | None:
+        c = self.c
+
+        def room(s: Any) -> int:
+            share, used = c.share(part, s.spec.team), part.usage(s.spec.team)
+            return max(0, share[0] - used[0])
+
+        if part.suspects:
+            return None
+        missing = unmet(part, c.ordered(part), room, c.now)
+        return choose(missing, c.types, self._refused, MAX_RENT)
+
+    def _refused(self, k: Kind) -> bool:
+        return self.c.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
+
+    def _rent(self, part: Part, want: Want) -> Step:
+        c = self.c
+        self._hires += 1
+        name = f"r-{part.term}-{self._hires}"
+        key = keys.hire(part.number, name)
+        value = [want.type, want.zone, want.spot, want.count]
+        r: StateResult = yield Commit(
+            [(key, 0), c.fence(part.number)], [Put(key, value)], [], SPLIT
+        )
+        if r.status != 200:
+            if r.status == 0:
+                part.trash.append(key)
+            return
+        yield from self._hire(part, name, want)
+
+    def _hire(self, part: Part, name: str, want: Want) -> Step:
+        """Rent under a recorded name, for as long as it takes to know the answer."""
+        c = self.c
+        key = keys.hire(part.number, name)
+        pause = 0.5
+        while True:
+            got: CloudResult = yield CloudRent(name, want.type, want.zone, want.spot, want.count)
+            if got.status == 200:
+                break
+            if got.status in (400, 503) and (got.no_capacity or got.status == 400):
+                t = c.types.get(want.type)
+                boot = t.boot_s if t is not None else 30.0
+                self.refused[(want.type, want.zone, want.spot)] = c.now + max(5.0, 0.5 * boot)
+                part.trash.append(key)
+                return
+            if c.parts.get(part.number) is not part:
+                return
+            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+            pause = min(4.0, pause * 1.6)
+        c.log("info", f"rented {got.machines} as {name}: {want.type} {want.zone} {want.spot}")
+        names = list(got.machines)
+        ops = c.settings.cluster.state.txn_ops - 1
+        if len(names) < want.count:
+            t = c.types.get(want.type)
+            self.refused[(want.type, want.zone, want.spot)] = c.now + 0.5 * (
+                t.boot_s if t is not None else 30.0
+            )
+        while names:
+            batch, rest = names[:ops], names[ops:]
+            puts = [
+                Put(
+                    keys.MACHINES + n,
+                    MachineRecord(part.number, want.type, want.zone, want.spot, round(c.wall, 1)),
+                )
+                for n in batch
+            ]
+            guards = [(p.key, 0) for p in puts]
+            guards.append(c.fence(part.number))
+            commit = Commit(guards, puts, [] if rest else [key], SPLIT)
+            r: StateResult = yield commit
+            if r.status == 200:
+                c.view.committed(commit, r.rev)
+                c.sync()
+                names = rest
+                continue
+            if c.parts.get(part.number) is not part:
+                return
+            if r.status == 409:
+                # Recorded by an earlier try, or adopted by somebody in between.
+                names = [n for n in names if n not in c.view.machines and n not in c.view.gone]
+                if not names:
+                    part.trash.append(key)
+                    return
+            yield Sleep(0.2 + 0.2 * c.rng.random())
+
+    def _finish_hires(self, part: Part) -> Flow:
+        """Carry out the rentals that an earlier owner recorded: the same name gives the same
+        machines, so none is left unused and paid for."""
+        c = self.c
+        prefix = f"{keys.HIRES}{part.number}/"
+        while c.parts.get(part.number) is part:
+            r: StateResult = yield ListKeys(prefix, "", 200)
+            if r.status == 200:
+                for i in r.items:
+                    if c.parts.get(part.number) is not part:
+                        return
+                    name = i.key[len(prefix) :]
+                    if name.startswith(f"r-{part.term}-"):
+                        continue
+                    t, zone, spot, count = i.value
+                    yield from self._hire(part, name, Want(t, zone, spot, count))
+                return
+            yield Sleep(0.5)
+
+    def _release(self, part: Part, machines: list[Machine]) -> Step:
+        """Give machines back. Their tasks are gone once the cloud has said so, not before."""
+        c = self.c
+        for m in machines:
+            m.releasing = True
+        names = [m.name for m in machines]
+        c.log("info", f"releasing {names}")
+        r: CloudResult = yield CloudDelete(names)
+        if r.status != 200:
+            for m in machines:
+                # A late copy of the request may still take the machine; it is asked for again.
+                m.releasing = m.condemned
+                m.idle_since = m.idle_since if m.placed else c.now
+            yield Sleep(0.5)
+            return
+        c.spawn(self._drop(part, names))
+
+    def _drop(self, part: Part, names: list[str]) -> Flow:
+        c = self.c
+        now = c.now
+        for n in names:
+            m = part.machines.get(n)
+            if m is not None:
+                part.forget_tasks(m, now)
+            c.view.gone[n] = None
+        ops = c.settings.cluster.state.txn_ops
+        while names and c.parts.get(part.number) is part:
+            drop = [keys.MACHINES + n for n in names[:ops]]
+            commit = Commit([c.fence(part.number)], [], drop, FINAL)
+            r: StateResult = yield commit
+            if r.status == 200:
+                c.view.committed(commit, r.rev)
+                c.sync()
+                names = names[ops:]
+            else:
+                yield Sleep(0.3 + 0.3 * c.rng.random())
+
+    # --- cancels ---------------------------------------------------------------------------
+
+    def guard_cancels(self, part: Part) -> None:
+        """A machine that still holds a cancelled task long after the cancel gets no more 200
+        answers and is released, so that its lease and the cloud both end the task."""
+        now = self.c.now
+        half = self.c.settings.cluster.workers.cancel_s / 2
+        for s in part.slices.values():
+            if s.cancelled and s.placed and now - s.cancelled_at > half:
+                for m in s.placed.values():
+                    if not m.condemned:
+                        m.condemned = True
+                        self.c.log("info", f"{m.name} does not stop a cancelled task")
--- /dev/null
+++ b/marblestair/core/flow.py
@@ -0,0 +1,69 @@
+"""Flows: steps of the core that wait for outside answers, written as generators.
+
+A flow yields a call and is resumed with its result. The runner keeps no clock and does no I/O:
+it returns the calls to make and is told of their results, so a story can answer them in any
+order, late, or never.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator
+from typing import Any, TypeAlias
+
+from marblestair.core.calls import Call, Sleep
+
+Flow: TypeAlias = Generator[Call, Any, None]
+#: a step of a flow with a result, used with ``yield from``
+Step: TypeAlias = Generator[Call, Any, Any]
+
+
+class Runner:
+    """Drives flows; the calls they make are collected until taken."""
+
+    def __init__(self) -> None:
+        self._next = 1
+        self._waiting: dict[int, Flow] = {}
+        self._sleeping: list[tuple[float, int]] = []
+        self.calls: list[tuple[int, Call]] = []
+        self.now = 0.0
+        #: told of a flow that ended by an error, which must not end the process
+        self.on_error: Callable[[BaseException], None] | None = None
+
+    def spawn(self, flow: Flow) -> None:
+        """Start a flow."""
+        self._advance(flow, None)
+
+    def complete(self, call: int, result: Any) -> None:
+        """Resume the flow that waits for a call; unknown calls are ignored."""
+        flow = self._waiting.pop(call, None)
+        if flow is not None:
+            self._advance(flow, result)
+
+    def wake(self, now: float) -> None:
+        """Resume the flows whose sleep is over."""
+        self.now = now
+        if not self._sleeping:
+            return
+        due = [c for t, c in self._sleeping if t <= now]
+        if due:
+            self._sleeping = [s for s in self._sleeping if s[0] > now]
+            for call in due:
+                self.complete(call, None)
+
+    def _advance(self, flow: Flow, value: Any) -> None:
+        try:
+            call = flow.send(value)
+        except StopIteration:
+            return
+        except Exception as e:
+            if self.on_error is None:
+                raise
+            self.on_error(e)
+            return
+        n = self._next
+        self._next += 1
+        self._waiting[n] = flow
+        if isinstance(call, Sleep):
+            self._sleeping.append((self.now + call.seconds, n))
+        else:
+            self.calls.append((n, call))
--- /dev/null
+++ b/marblestair/core/jobs.py
@@ -0,0 +1,610 @@
+"""Jobs across parts: acceptance, queries, cancels, ends, and the slices' handovers.
+
+The owner of a job's manager part runs its ServerManager. It alone changes the job's record, and
+it alone gives answers that are not final, so that no user is given an older answer than before.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marblestair.core import controller as api
+from marblestair.core import keys, split
+from marblestair.core.admission import Stage
+from marblestair.core.calls import (
+    ACCEPT,
+    FINAL,
+    Commit,
+    Get,
+    PeerCall,
+    Put,
+    Sleep,
+    StateResult,
+)
+from marblestair.core.flow import Flow, Step
+from marblestair.core.manager import ServerManager
+from marblestair.core.model import GANG, JobRecord, JobSpec
+from marblestair.core.part import Part
+from marblestair.core.shares import refusal
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: a state of a job as told to a user: state, done, running
+State = tuple[str, int | None, int | None]
+UNKNOWN: State = ("unknown", None, None)
+
+#: final states remembered per node; others are read from the state service
+REMEMBERED = 20_000
+
+
+class PartReport(msgspec.Struct, array_like=True):
+    """What the owner of a part last told the manager about its slice of a job."""
+
+    job: str
+    part: int
+    term: int
+    done: int
+    running: int
+    #: tasks on machines or perhaps so; -1 while that is not known
+    placed: int
+    size: int
+
+
+class Managed:
+    """A job whose ServerManager runs here."""
+
+    def __init__(self, job: str, rec: JobRecord) -> None:
+        self.job = job
+        self.part = rec.manager
+        self.locks = ServerManager({int(p) for p in rec.slices})
+        self.reports: dict[int, PartReport] = {}
+        self.want_cancel = False
+        #: part -> term under which its owner has applied the cancel
+        self.applied: dict[int, int] = {}
+        self.editing = False
+        #: when the cancel was first seen committed
+        self.cancel_seen: float | None = None
+        #: a change of the record was sent and its fate is unknown: nothing is told meanwhile
+        self.doubt = False
+
+
+class Jobs:
+    """All jobs, as far as this node answers for them."""
+
+    def __init__(self, c: Controller) -> None:
+        self.c = c
+        self.finals: OrderedDict[str, str] = OrderedDict()
+        self.managed: dict[str, Managed] = {}
+        self._told: dict[tuple[int, str], tuple[float, PartReport]] = {}
+        limits = c.settings.cluster.state
+        n = len(c.settings.nodes)
+        # Submissions under way at once: about a second's worth of this node's writes.
+        per_second = max(1.0, limits.write_rps / n / 2)
+        self.stage = Stage(max(2, round(per_second)), per_second)
+
+    # --- users -----------------------------------------------------------------------------
+
+    def submit(self, request: int, spec: JobSpec) -> Flow:
+        """POST of a job."""
+        reply = yield from self._submit(spec)
+        self._reply(request, spec.id, *reply)
+
+    def _submit(self, spec: JobSpec) -> Step:
+        c = self.c
+        job = spec.id
+        if job in self.finals or job in c.view.jobs:
+            return (yield from self._known(job))
+        if not c.types:
+            return 503, UNKNOWN, "machine types are not known yet", 1
+        reason = refusal(spec, c.teams, list(c.types.values()))
+        if reason is not None:
+            state = yield from self._lookup(job)
+            if state is None:
+                return 503, UNKNOWN, "state service unavailable", 1
+            if state == UNKNOWN:
+                return 422, UNKNOWN, reason, 0
+            return 200, state, "", 0
+        acting = c.acting()
+        if not acting:
+            return 503, UNKNOWN, "no part to accept into", 2
+        if not self.stage.enter():
+            return 429, UNKNOWN, "too many submissions", self.stage.retry_after()
+        try:
+            return (yield from self._accept(spec, acting[c.rng.randrange(len(acting))]))
+        finally:
+            self.stage.leave()
+
+    def _known(self, job: str) -> Step:
+        state = yield from self._lookup(job)
+        if state is None:
+            return 503, UNKNOWN, "state not available", 1
+        if state == UNKNOWN:
+            return 503, UNKNOWN, "state not available", 1
+        return 200, state, "", 0
+
+    def _accept(self, spec: JobSpec, part: Part) -> Step:
+        c = self.c
+        job = spec.id
+        rec = JobRecord(
+            msgspec.structs.replace(spec, at=round(c.wall, 3)),
+            part.number,
+            self._assign(spec, part),
+            [],
+        )
+        key = keys.JOBS + job
+        for _ in range(3):
+            if not c.acts(part.number):
+                return 503, UNKNOWN, "no authority", 1
+            guards = [(key, 0), (keys.FINALS + job, 0), c.fence(part.number)]
+            commit = Commit(guards, [Put(key, rec)], [], ACCEPT)
+            r: StateResult = yield commit
+            if r.status == 200:
+                c.view.committed(commit, r.rev)
+                c.sync()
+                return 201, ("queued", 0, 0), "", 0
+            if r.status in (0, 409):
+                # Perhaps an earlier try of ours, or of the user by way of another node.
+                state = yield from self._lookup(job)
+                if state is None:
+                    break
+                if state != UNKNOWN:
+                    return 200, state, "", 0
+                continue
+            if r.status == 400:
+                return 503, UNKNOWN, "not accepted", 5
+            break
+        return 503, UNKNOWN, "state service unavailable", 1
+
+    def _assign(self, spec: JobSpec, home: Part) -> dict[str, list[list[int]]]:
+        """Which part gets which slice at first; unstarted ones can migrate later."""
+        c = self.c
+        s = c.view.split
+        assert s is not None
+        load: dict[int, float] = {}
+        for i, p in enumerate(s.parts):
+            t, g = c.gossip.get(i, (-1e9, None))
+            if i != home.number and (g is None or c.now - t > 4.0 or g.term != p.term):
+                continue
+            load[i] = (g.backlog - g.free) if g is not None else 0.0
+        unit = spec.tasks if spec.kind == GANG else 1
+        need = spec.need
+        able = [
+            i
+            for i in load
+            if s.parts[i].shares.get(spec.team, [0, 0])[0] >= unit * need[0]
+            and s.parts[i].shares.get(spec.team, [0, 0])[1] >= unit * need[1]
+        ] or [home.number]
+        whole = spec.kind == GANG or spec.one_zone or spec.spread
+        if whole or spec.tasks < 2 * len(able):
+            best = min(able, key=lambda i: (load[i], i != home.number, i))
+            return {str(best): [[0, spec.tasks]]}
+        out: dict[str, list[list[int]]] = {}
+        at = 0
+        for i, n in zip(sorted(able), split.even(spec.tasks, len(able)), strict=True):
+            out[str(i)] = [[at, at + n]]
+            at += n
+        return out
+
+    def query(self, request: int, job: str) -> Flow:
+        """GET of a job."""
+        state = yield from self._lookup(job)
+        if state is None:
+            self._reply(request, job, 503, UNKNOWN, "state not available", 1)
+        elif state == UNKNOWN:
+            self._reply(request, job, 404, UNKNOWN, "no such job", 0)
+        else:
+            self._reply(request, job, 200, state, "", 0)
+
+    def cancel(self, request: int, job: str) -> Flow:
+        """POST of a cancel."""
+        c = self.c
+        state: State | None = None
+        if job not in self.finals and job not in c.view.jobs:
+            yield from self._fresh(job)
+        if job in self.finals:
+            state = (self.finals[job], None, None)
+        elif job in c.view.jobs:
+            owner = c.owner(c.view.jobs[job].manager)
+            got: Any = None
+            if owner == c.node:
+                got = yield from self.cancel_here(job)
+            elif owner is not None:
+                got = yield PeerCall(owner, "cancel", [job], 3.8)
+            if isinstance(got, str) and got in ("done", "cancelled"):
+                state = (got, None, None)
+        else:
+            state = yield from self._lookup(job)
+            if state == UNKNOWN:
+                self._reply(request, job, 404, UNKNOWN, "no such job", 0)
+                return
+            if state is not None and state[0] not in ("done", "cancelled"):
+                state = None
+        if state is None:
+            self._reply(request, job, 503, UNKNOWN, "not cancelled yet", 1)
+        else:
+            self._reply(request, job, 200, (state[0], None, None), "", 0)
+
+    def _reply(
+        self, request: int, job: str, status: int, state: State, error: str, retry: int
+    ) -> None:
+        self.c.replies.append(
+            api.Reply(request, status, job, state[0], state[1], state[2], error, retry)
+        )
+
+    # --- states ----------------------------------------------------------------------------
+
+    def _final(self, job: str, state: str) -> None:
+        self.finals[job] = state
+        while len(self.finals) > REMEMBERED:
+            self.finals.popitem(last=False)
+
+    def local_state(self, job: str) -> list[Any] | None:
+        """The state of a job if this node may tell it."""
+        c = self.c
+        if job in self.finals:
+            return [self.finals[job], None, None]
+        rec = c.view.jobs.get(job)
+        if rec is None:
+            return None
+        if rec.cancelled:
+            return ["cancelled", None, None]
+        mj = self.managed.get(job)
+        if mj is None or mj.doubt or not c.acts(mj.part):
+            return None
+        done = running = 0
+        for r in mj.reports.values():
+            done += r.done
+            running += r.running
+        return ["running" if running or done else "queued", min(done, rec.spec.tasks), running]
+
+    def _lookup(self, job: str) -> Step:
+        """The state of any job: UNKNOWN, or None when it cannot be told now."""
+        c = self.c
+        local = self.local_state(job)
+        if local is not None:
+            return tuple(local)
+        rec = c.view.jobs.get(job)
+        if rec is not None:
+            owner = c.owner(rec.manager)
+            if owner is not None and owner != c.node:
+                got = yield PeerCall(owner, "query", [job], 0.6)
+                if isinstance(got, list) and len(got) == 3:
+                    if got[0] in ("done", "cancelled"):
+                        self._final(job, got[0])
+                    return tuple(got)
+        return (yield from self._fresh(job))
+
+    def _fresh(self, job: str) -> Step:
+        """Read a job's state from the state service."""
+        c = self.c
+        r: StateResult = yield Get(keys.JOBS + job)
+        if r.status == 200:
+            c.view.take_in(keys.JOBS + job, r.value, r.version)
+            c.sync()
+            rec = msgspec.convert(r.value, JobRecord)
+            if rec.cancelled:
+                return ("cancelled", None, None)
+            mj = self.managed.get(job)
+            done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
+            return ("running", done, 0) if done else ("queued", 0, 0)
+        if r.status != 404:
+            return None
+        # In this order: a job that ends between the two reads moves from the first key to the
+        # second.
+        f: StateResult = yield Get(keys.FINALS + job)
+        if f.status == 200 and f.value in ("done", "cancelled"):
+            self._final(job, f.value)
+            return (f.value, None, None)
+        return UNKNOWN if f.status == 404 else None
+
+    # --- the manager -----------------------------------------------------------------------
+
+    def parts_changed(self) -> None:
+        """Ownership moved: run the managers of the parts that are here, drop the others."""
+        c = self.c
+        for job, rec in c.view.jobs.items():
+            self._manage(job, rec)
+        for job in [j for j, m in self.managed.items() if m.part not in c.parts]:
+            del self.managed[job]
+        self._told.clear()
+
+    def _manage(self, job: str, rec: JobRecord) -> None:
+        part = self.c.parts.get(rec.manager)
+        if part is not None and part.ready and job not in self.managed:
+            self.managed[job] = Managed(job, rec)
+
+    def changed(self, job: str) -> None:
+        """A job's record changed in the view."""
+        rec = self.c.view.jobs.get(job)
+        if rec is None:
+            self.managed.pop(job, None)
+            return
+        self._manage(job, rec)
+
+    def told(self, args: list[Any]) -> None:
+        """A part's owner tells of its slices."""
+        for raw in args:
+            self._take_report(msgspec.convert(raw, PartReport))
+
+    def _take_report(self, r: PartReport) -> None:
+        s = self.c.view.split
+        mj = self.managed.get(r.job)
+        # Only the present owner's word counts: an earlier owner's count may include tasks that
+        # have since moved to another part.
+        if mj is None or s is None or not 0 <= r.part < len(s.parts):
+            return
+        if s.parts[r.part].term == r.term:
+            mj.reports[r.part] = r
+
+    def _complete(self, mj: Managed, rec: JobRecord) -> bool:
+        """Whether every slice of the record is reported done by its part's present owner."""
+        s = self.c.view.split
+        if s is None:
+            return False
+        total = 0
+        for name, ranges in rec.slices.items():
+            size = sum(b - a for a, b in ranges)
+            r = mj.reports.get(int(name))
+            if r is None or r.term != s.parts[int(name)].term or not r.done == r.size == size:
+                return False
+            total += size
+        return total == rec.spec.tasks
+
+    def _empty(self, mj: Managed, rec: JobRecord) -> bool:
+        """Whether no part has a task of the job on a machine any more."""
+        s = self.c.view.split
+        if s is None:
+            return False
+        for name in rec.slices:
+            r = mj.reports.get(int(name))
+            if r is None or r.term != s.parts[int(name)].term or r.placed != 0:
+                return False
+        return True
+
+    def _next(self, mj: Managed, rec: JobRecord) -> str | None:
+        if rec.cancelled:
+            if self._unapplied(mj, rec):
+                return "apply"
+            return "bury" if self._empty(mj, rec) else None
+        if self._complete(mj, rec):
+            return "finish"
+        return "cancel" if mj.want_cancel else None
+
+    def _unapplied(self, mj: Managed, rec: JobRecord) -> list[int]:
+        c = self.c
+        s = c.view.split
+        assert s is not None
+        if mj.cancel_seen is None:
+            mj.cancel_seen = c.now
+        # A node acts only on a view younger than a worker's lease, so after that long every
+        # node that still acts has seen the cancel, even one that this node cannot reach.
+        if c.now - mj.cancel_seen > c.settings.cluster.workers.lease_s * 1.1:
+            return []
+        return [int(p) for p in rec.slices if mj.applied.get(int(p)) != s.parts[int(p)].term]
+
+    def _edit(self, mj: Managed) -> Flow:
+        """Carry a managed job on: finish, cancel (Algorithm 3), bury. One at a time per job."""
+        c = self.c
+        mj.editing = True
+        holder = ("edit", mj.job)
+        try:
+            while self.managed.get(mj.job) is mj and c.acts(mj.part):
+                rec = c.view.jobs.get(mj.job)
+                action = self._next(mj, rec) if rec is not None else None
+                if rec is None or action is None:
+                    return
+                if mj.locks.request_exclusive(holder) is None:
+                    yield Sleep(0.05)
+                    continue
+                if action == "apply":
+                    if not (yield from self._apply(mj, rec)):
+                        yield Sleep(0.3)
+                    continue
+                key = keys.JOBS + mj.job
+                guards = [(key, c.view.version(key)), c.fence(mj.part)]
+                if action == "cancel":
+                    new = msgspec.structs.replace(
+                        rec, changes=[*rec.changes, ["cancel", len(rec.changes) + 1]]
+                    )
+                    commit = Commit(guards, [Put(key, new)], [], ACCEPT)
+                else:
+                    final = "done" if action == "finish" else "cancelled"
+                    fkey = keys.FINALS + mj.job
+                    commit = Commit([*guards, (fkey, 0)], [Put(fkey, final)], [key], FINAL)
+                r: StateResult = yield commit
+                if r.status == 200:
+                    mj.doubt = False
+                    if action in ("finish", "bury"):
+                        self._final(mj.job, final)
+                    c.view.committed(commit, r.rev)
+                    c.sync()
+                elif r.status == 409:
+                    # The record moved on: by an earlier try of ours, or the part has a new
+                    # owner. Whatever was in doubt is settled by reading it.
+                    if (yield from self._fresh(mj.job)) is not None:
+                        mj.doubt = False
+                        if mj.job in self.finals:
+                            c.view.drop(key)
+                            c.sync()
+                    yield Sleep(0.05)
+                else:
+                    if r.status == 0:
+                        mj.doubt = True
+                    yield Sleep(0.1 + 0.2 * c.rng.random())
+        finally:
+            mj.locks.release_exclusive(holder)
+            mj.editing = False
+
+    def _apply(self, mj: Managed, rec: JobRecord) -> Step:
+        """Have every active controller apply the cancel; whether all have."""
+        c = self.c
+        s = c.view.split
+        assert s is not None
+        version = c.view.version(keys.JOBS + mj.job)
+        nodes: dict[str, list[int]] = {}
+        for p in self._unapplied(mj, rec):
+            nodes.setdefault(s.parts[p].owner, []).append(p)
+        for node in sorted(nodes):
+            if node == c.node:
+                got: Any = self.apply_cancel(mj.job, version)
+            else:
+                got = yield PeerCall(node, "apply", [mj.job, version], 0.8)
+            if isinstance(got, list):
+                for pair in got:
+                    mj.applied[int(pair[0])] = int(pair[1])
+        return not self._unapplied(mj, rec)
+
+    def apply_cancel(self, job: str, version: int) -> list[list[int]] | None:
+        """Apply a cancel to the slices held here; the parts and terms for which that is done."""
+        c = self.c
+        out = []
+        for p in c.acting():
+            if job not in p.slices and c.view.rev < version:
+                # The record has not come by the watch yet; it comes with the cancel in it.
+                continue
+            p.cancel(job, c.now)
+            out.append([p.number, p.term])
+        return out
+
+    def cancel_here(self, job: str) -> Step:
+        """Cancel a job managed here: 'cancelled', 'done', or None if it takes too long."""
+        c = self.c
+        until = c.now + 3.0
+        while c.now < until:
+            if job in self.finals:
+                return self.finals[job]
+            rec = c.view.jobs.get(job)
+            mj = self.managed.get(job)
+            if rec is None or mj is None or not c.acts(mj.part):
+                break
+            if rec.cancelled and not self._unapplied(mj, rec):
+                return "cancelled"
+            mj.want_cancel = True
+            if not mj.editing:
+                c.spawn(self._edit(mj))
+                continue
+            yield Sleep(0.02)
+        return None
+
+    # --- time ------------------------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Tell managers of progress; carry managed jobs on."""
+        c = self.c
+        out: dict[str, list[Any]] = {}
+        s = c.view.split
+        if s is None:
+            return
+        for p in c.acting():
+            for job, sl in p.slices.items():
+                rec = c.view.jobs.get(job)
+                if rec is None:
+                    continue
+                running = sum(
+                    1
+                    for i, m in sl.placed.items()
+                    if (x := m.placed.get((job, i))) is not None and x.run_since is not None
+                )
+                unknown = sl.suspect or p.suspects
+                report = PartReport(
+                    job,
+                    p.number,
+                    p.term,
+                    sl.done_count,
+                    running,
+                    -1 if unknown else len(sl.placed),
+                    sl.size,
+                )
+                owner = c.owner(rec.manager)
+                if owner == c.node:
+                    self._take_report(report)
+                    continue
+                then, old = self._told.get((p.number, job), (-1e9, None))
+                if owner is not None and (old != report or c.now - then > 2.0):
+                    self._told[(p.number, job)] = (c.now, report)
+                    out.setdefault(owner, []).append(msgspec.to_builtins(report))
+        for node, reports in out.items():
+            c.notes.append(api.Note(node, "progress", reports))
+        if len(self._told) > 4 * (len(c.view.jobs) + 50):
+            self._told.clear()
+        for mj in list(self.managed.values()):
+            if mj.editing or not c.acts(mj.part):
+                continue
+            rec = c.view.jobs.get(mj.job)
+            if rec is not None and self._next(mj, rec) is not None:
+                c.spawn(self._edit(mj))
+
+    # --- shares ----------------------------------------------------------------------------
+
+    def rebalance(self, acting: list[Part]) -> None:
+        """Give room under a team's limit to a part that lacks it."""
+        c = self.c
+        if c.lowered or c.view.split is None:
+            return
+        for p in acting:
+            if p.suspects:
+                continue
+            mine = c.gossip[p.number][1]
+            for i, (t, g) in sorted(c.gossip.items()):
+                if i == p.number or c.now - t > 3.0 or g.term != c.view.split.parts[i].term:
+                    continue
+                for team, want in (*g.stuck.items(), *g.wants.items()):
+                    used, share = p.usage(team), c.share(p, team)
+                    free = [share[0] - used[0], share[1] - used[1]]
+                    stuck = team in g.stuck
+                    if stuck:
+                        # One of two parts that are both stuck must give way.
+                        if team in mine.stuck and p.number < i:
+                            continue
+                    else:
+                        own = mine.wants.get(team)
+                        if own is not None or team in mine.stuck:
+                            continue
+                        kept = self._pending(p, team)
+                        free = [free[0] - kept[0], free[1] - kept[1]]
+                    give = [max(0, min(free[0], want[0])), max(0, min(free[1], want[1]))]
+                    if give[0] or give[1]:
+                        c.lowered[(p.number, team)] = give
+                        c.spawn(self._give_room(p, i, team, give))
+                        return
+
+    def _pending(self, p: Part, team: str) -> list[int]:
+        out = [0, 0]
+        for s in p.slices.values():
+            if s.spec.team == team and not s.cancelled:
+                out[0] += len(s.pending) * s.need[0]
+                out[1] += len(s.pending) * s.need[1]
+        return out
+
+    def _give_room(self, p: Part, target: int, team: str, give: list[int]) -> Flow:
+        """Lowered here first, then both shares change in one commit."""
+        c = self.c
+        try:
+            doubt = -1
+            n = 0
+            while True:
+                n += 1
+                s = c.view.split
+                version = c.view.version(keys.SPLIT)
+                if s is None or c.parts.get(p.number) is not p:
+                    return
+                if doubt >= 0 and doubt != version:
+                    # Whatever was sent has been applied or cannot be any more.
+                    return
+                share = s.parts[p.number].shares.get(team, [0, 0])
+                if doubt < 0 and (give[0] > share[0] or give[1] > share[1] or n > 5):
+                    return
+                new = split.shift(s, p.number, target, team, give[0], give[1])
+                ok = yield from c.authority.commit_split(new, [], [c.fence(p.number)], version)
+                if ok:
+                    return
+                if ok is None:
+                    doubt = version
+                    yield from c.authority.refresh_split()
+                yield Sleep(0.1 + 0.2 * c.rng.random())
+        finally:
+            c.lowered.pop((p.number, team), None)
--- /dev/null
+++ b/marblestair/core/keys.py
@@ -0,0 +1,34 @@
+"""Keys in the state service. A tenant prefix comes first, so that more tenants can come later."""
+
+from __future__ import annotations
+
+TENANT = "main"
+
+#: everything that every controller follows by its watch
+VIEW = f"{TENANT}/w/"
+SPLIT = f"{VIEW}split"
+NODES = f"{VIEW}node/"
+#: one key per part, rewritten at each takeover: everything that an owner commits is guarded on
+#: it, so that a transaction of an earlier owner that is applied late changes nothing
+FENCES = f"{VIEW}fence/"
+MACHINES = f"{VIEW}machine/"
+JOBS = f"{VIEW}job/"
+
+#: final states, kept for good
+FINALS = f"{TENANT}/f/"
+#: progress pages, by part
+PROGRESS = f"{TENANT}/p/"
+#: hire intents, by part
+HIRES = f"{TENANT}/h/"
+#: last known machine types, one key each
+TYPES = f"{TENANT}/t/"
+
+
+def progress(part: int, job: str, page: int) -> str:
+    """Key of one page of a part's progress on a job."""
+    return f"{PROGRESS}{part}/{job}/{page}"
+
+
+def hire(part: int, name: str) -> str:
+    """Key of a hire intent."""
+    return f"{HIRES}{part}/{name}"
--- /dev/null
+++ b/marblestair/core/model.py
@@ -0,0 +1,140 @@
+"""Plain values that the core works with."""
+
+from __future__ import annotations
+
+import math
+from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
+from typing import Any
+
+import msgspec
+
+#: Amounts are kept as whole numbers of a millionth, so that sums never drift from a limit.
+UNIT = 1_000_000
+
+
+def up(x: float) -> int:
+    """A requested amount as fixed point, rounded up."""
+    return int((Decimal(repr(x)) * UNIT).to_integral_value(ROUND_CEILING))
+
+
+def down(x: float) -> int:
+    """An available amount as fixed point, rounded down."""
+    return int((Decimal(repr(x)) * UNIT).to_integral_value(ROUND_FLOOR))
+
+
+ARRAY, GANG = "array", "gang"
+PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
+
+
+class JobSpec(msgspec.Struct, array_like=True, frozen=True):
+    """A job as its user described it, in the names used inside."""
+
+    id: str
+    cls: str
+    team: str
+    kind: str
+    priority: str
+    tasks: int
+    cpus: float
+    gpus: float
+    mem_gb: float
+    image: str
+    image_gb: float
+    types: list[str] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None
+    #: wall-clock time of acceptance, for ordering and deadlines only
+    at: float = 0.0
+
+    @property
+    def need(self) -> tuple[int, int, int]:
+        """What one task takes: cpus, gpus and memory in fixed point."""
+        return up(self.cpus), up(self.gpus), up(self.mem_gb)
+
+
+class MachineType(msgspec.Struct, array_like=True, frozen=True):
+    """A type of machine the cloud rents."""
+
+    name: str
+    cpus: float
+    gpus: float
+    mem_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: list[str]
+
+    @property
+    def size(self) -> tuple[int, int, int]:
+        """Capacity in fixed point."""
+        return down(self.cpus), down(self.gpus), down(self.mem_gb)
+
+    def fits(self, need: tuple[int, int, int]) -> bool:
+        """Whether an empty machine of this type can hold one such task."""
+        return all(n <= s for n, s in zip(need, self.size, strict=True))
+
+
+class TaskReport(msgspec.Struct, frozen=True):
+    """One task as a worker reports it."""
+
+    job: str
+    index: int
+    attempt: int
+    state: str
+    why: str = ""
+    saved: bool = False
+
+
+class Report(msgspec.Struct, frozen=True):
+    """A worker's report."""
+
+    machine: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice_s: float | None
+    tasks: list[TaskReport]
+
+
+class Order(msgspec.Struct, frozen=True):
+    """A command to a worker: ``start``, ``stop`` or ``forget``."""
+
+    op: str
+    job: str
+    index: int
+    attempt: int
+    grace_s: float = 0.0
+
+
+class JobRecord(msgspec.Struct, array_like=True):
+    """A live job as the state service keeps it."""
+
+    spec: JobSpec
+    #: part whose owner is the job's ServerManager
+    manager: int
+    #: ActiveServers: part -> index ranges [a, b) it holds
+    slices: dict[str, list[list[int]]]
+    #: change list; ``["cancel", seq]`` is the only kind of entry so far
+    changes: list[list[Any]]
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the change list holds a cancel."""
+        return any(c[0] == "cancel" for c in self.changes)
+
+
+def finite(*values: float | None) -> bool:
+    """Whether every number is finite and not negative."""
+    return all(v is None or (math.isfinite(v) and v >= 0) for v in values)
--- /dev/null
+++ b/marblestair/core/placement.py
@@ -0,0 +1,149 @@
+"""Which machine a task goes to: best fit among a few sampled machines, else the first that fits.
+
+Everything the users call ``wrong_place`` is decided here: machine type, zone, kind (spot or
+ordinary), and how a job's tasks lie together or apart.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from marblestair.core.model import JobSpec
+from marblestair.core.part import Machine, Part, Slice
+
+#: machines sampled at first, as the design has it
+SAMPLE = 3
+
+
+def allowed(spec: JobSpec, m: Machine) -> bool:
+    """Whether the job may run on this machine at all."""
+    return (
+        (spec.types is None or m.type_name in spec.types)
+        and (spec.zone is None or m.zone == spec.zone)
+        and (spec.spot or not m.spot)
+    )
+
+
+def room(m: Machine, need: tuple[int, int, int]) -> int:
+    """How many such tasks fit into what is free on the machine."""
+    n = 1 << 30
+    for f, x in zip(m.free, need, strict=True):
+        if x > 0:
+            n = min(n, f // x)
+    return max(n, 0)
+
+
+def _score(spec: JobSpec, m: Machine, need: tuple[int, int, int]) -> tuple[float, float, str]:
+    """Smaller is better: first the wait for the image, then what is left free."""
+    fetch = 0.0
+    if spec.image not in m.images and m.type is not None:
+        fetch = spec.image_gb / max(m.type.fetch_gb_per_s, 1e-6)
+    left = (m.free[0] - need[0]) / max(m.type.size[0], 1) if m.type is not None else 1.0
+    price = 0.0
+    if m.type is not None and m.type.cpus:
+        price = (m.type.spot_price if m.spot else m.type.price) / m.type.cpus
+    return fetch, left + price, m.name
+
+
+def pick(
+    spec: JobSpec, need: tuple[int, int, int], candidates: list[Machine], rng: random.Random
+) -> Machine | None:
+    """Best fit among sampled machines; if none of them fits, the first that does."""
+    sample = candidates if len(candidates) <= SAMPLE else rng.sample(candidates, SAMPLE)
+    fitting = [m for m in sample if room(m, need)]
+    if fitting:
+        return min(fitting, key=lambda m: _score(spec, m, need))
+    for m in candidates:
+        if room(m, need):
+            return m
+    return None
+
+
+def zone_limit(spec: JobSpec) -> int:
+    """How many of a job's tasks one zone may hold."""
+    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+
+
+def within_share(part: Part, s: Slice, share: tuple[int, int]) -> int:
+    """How many more of the slice's tasks the team's share in this part allows."""
+    used = part.usage(s.spec.team)
+    n = 1 << 30
+    for u, limit, x in zip(used, share, s.need, strict=False):
+        if x > 0:
+            n = min(n, (limit - u) // x)
+    return max(n, 0)
+
+
+def place_array(
+    part: Part, s: Slice, share: tuple[int, int], now: float, rng: random.Random
+) -> int:
+    """Launch as many pending tasks of an array as fit; how many."""
+    spec = s.spec
+    budget = min(within_share(part, s, share), len(s.pending))
+    if budget <= 0:
+        return 0
+    machines = [m for m in part.machines.values() if m.usable(now) and allowed(spec, m)]
+    zones = Counter(m.zone for m in s.placed.values())
+    limit = zone_limit(spec)
+    started = 0
+    while budget > 0:
+        options = machines
+        if spec.one_zone and zones:
+            options = [m for m in options if zones[m.zone]]
+        if spec.spread:
+            options = [m for m in options if zones[m.zone] < limit]
+        m = pick(spec, s.need, options, rng)
+        if m is None:
+            break
+        n = min(room(m, s.need), budget)
+        if spec.spread:
+            n = min(n, limit - zones[m.zone])
+        for _ in range(n):
+            part.launch(m, s, s.pending.pop(), part.new_attempt(), now)
+        zones[m.zone] += n
+        budget -= n
+        started += n
+    return started
+
+
+def plan_gang(
+    spec: JobSpec, need: tuple[int, int, int], machines: list[Machine], n: int
+) -> list[Machine] | None:
+    """Machines for n tasks of a gang, all at once, or None; tightest and cached first."""
+    rooms = [(m, room(m, need)) for m in machines]
+    rooms = [(m, r) for m, r in rooms if r]
+    rooms.sort(key=lambda x: _score(spec, x[0], need))
+    zones: list[str | None] = [None]
+    if spec.one_zone:
+        zones = sorted({m.zone for m, _ in rooms})  # type: ignore[assignment]
+    limit = zone_limit(spec)
+    for zone in zones:
+        out: list[Machine] = []
+        count: Counter[str] = Counter()
+        for m, r in rooms:
+            if zone is not None and m.zone != zone:
+                continue
+            k = min(r, n - len(out), limit - count[m.zone])
+            if k > 0:
+                out += [m] * k
+                count[m.zone] += k
+            if len(out) == n:
+                return out
+    return None
+
+
+def place_gang(part: Part, s: Slice, share: tuple[int, int], now: float) -> int:
+    """Launch a whole gang or nothing."""
+    n = s.size - s.done_count
+    if n <= 0 or s.placed or len(s.pending) != n or within_share(part, s, share) < n:
+        return 0
+    spec = s.spec
+    machines = [m for m in part.machines.values() if m.usable(now) and allowed(spec, m)]
+    chosen = plan_gang(spec, s.need, machines, n)
+    if chosen is None:
+        return 0
+    attempt = part.new_attempt()
+    for m in chosen:
+        part.launch(m, s, s.pending.pop(), attempt, now)
+    return n
--- /dev/null
+++ b/marblestair/core/progress.py
@@ -0,0 +1,106 @@
+"""A part's progress on its jobs, kept in pages in the state service.
+
+Each page is written by one part only, under a guard on the part's fence and on the page's
+version. A finished task is reaped only once its page holds it, so that a takeover never loses
+a result.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marblestair.core import keys
+from marblestair.core.calls import PROGRESS, Commit, Get, ListKeys, Put, Sleep, StateResult
+from marblestair.core.flow import Flow, Step
+from marblestair.core.part import Part, Slice
+from marblestair.core.ranges import PAGE, decode_bits, encode_bits
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+
+def load_progress(c: Controller, part: Part) -> Step:
+    """All pages of a part: job -> page -> (bits, version); None when the part was lost."""
+    out: dict[str, dict[int, tuple[int, int]]] = {}
+    prefix = f"{keys.PROGRESS}{part.number}/"
+    after = ""
+    while c.parts.get(part.number) is part:
+        r: StateResult = yield ListKeys(prefix, after, 500)
+        if r.status != 200:
+            yield Sleep(0.1 + 0.2 * c.rng.random())
+            continue
+        for i in r.items:
+            job, _, page = i.key[len(prefix) :].rpartition("/")
+            out.setdefault(job, {})[int(page)] = (decode_bits(i.value), i.version)
+        if not r.more or not r.items:
+            return out
+        after = r.items[-1].key
+    return None
+
+
+def _dirty(part: Part, now: float) -> list[tuple[Slice, int]]:
+    out = []
+    for s in part.slices.values():
+        if s.dirty_since is None or s.cancelled:
+            continue
+        # A slice that is complete is about to be recorded with its job's end.
+        wait = 1.5 if s.done_count == s.size else 0.5
+        if now - s.dirty_since < wait:
+            continue
+        fresh = s.done & ~s.durable
+        mask = (1 << PAGE) - 1
+        page = 0
+        while fresh:
+            if fresh & mask:
+                out.append((s, page))
+            fresh >>= PAGE
+            page += 1
+    out.sort(key=lambda x: x[0].dirty_since or 0.0)
+    return out
+
+
+def keep_progress(c: Controller, part: Part) -> Flow:
+    """Write what is finished, in batches, about once a second."""
+    ops = c.settings.cluster.state.txn_ops
+    mask = (1 << PAGE) - 1
+    while c.parts.get(part.number) is part:
+        yield Sleep(0.7 + 0.2 * c.rng.random())
+        if not c.acts(part.number):
+            continue
+        batch = _dirty(part, c.now)[:ops]
+        if not batch:
+            if part.trash:
+                drop = list(dict.fromkeys(part.trash))[:ops]
+                r: StateResult = yield Commit([c.fence(part.number)], [], drop, PROGRESS)
+                if r.status == 200:
+                    part.trash = [k for k in part.trash if k not in drop]
+            continue
+        written = []
+        guards = [c.fence(part.number)]
+        puts = []
+        for s, page in batch:
+            bits = (s.done >> (page * PAGE)) & mask
+            key = keys.progress(part.number, s.spec.id, page)
+            guards.append((key, s.pages.get(page, 0)))
+            puts.append(Put(key, encode_bits(bits)))
+            written.append((s, page, bits))
+        r = yield Commit(guards, puts, [], PROGRESS)
+        if r.status == 200:
+            for s, page, bits in written:
+                s.pages[page] = r.rev
+                s.durable |= bits << (page * PAGE)
+                s.dirty_since = c.now if s.done & ~s.durable else None
+        elif r.status in (0, 409):
+            # No answer, or an earlier try was applied after all: read the versions back.
+            for s, page, _ in written:
+                key = keys.progress(part.number, s.spec.id, page)
+                got: StateResult = yield Get(key, PROGRESS)
+                if got.status == 200:
+                    s.pages[page] = got.version
+                    s.durable |= decode_bits(got.value) << (page * PAGE)
+                elif got.status == 404:
+                    s.pages[page] = 0
+        # A slice that ended meanwhile leaves pages behind.
+        for s, page, _ in written:
+            if part.slices.get(s.spec.id) is not s:
+                part.trash.append(keys.progress(part.number, s.spec.id, page))
--- /dev/null
+++ b/marblestair/core/shares.py
@@ -0,0 +1,55 @@
+"""Guarantees, limits, and the order in which jobs are served."""
+
+from __future__ import annotations
+
+from marblestair.core.model import ARRAY, PRIORITIES, JobRecord, JobSpec, MachineType, down, up
+from marblestair.settings import Team
+
+
+def refusal(spec: JobSpec, teams: dict[str, Team], types: list[MachineType]) -> str | None:
+    """Why a job can never run, or None: the same answer on every controller."""
+    team = teams.get(spec.team)
+    if team is None:
+        return "unknown team"
+    need = spec.need
+    options = [
+        t
+        for t in types
+        if (spec.types is None or t.name in spec.types)
+        and (spec.zone is None or spec.zone in t.zones)
+    ]
+    if not any(t.fits(need) for t in options):
+        return "a task fits no allowed machine type"
+    n = 1 if spec.kind == ARRAY else spec.tasks
+    if n * need[0] > down(team.cpus_max) or n * need[1] > down(team.gpus_max):
+        return "more than the team's limit"
+    return None
+
+
+def within_guarantee(jobs: dict[str, JobRecord], teams: dict[str, Team]) -> set[str]:
+    """Jobs that fit into their team's guarantee together with the team's earlier unfinished
+    jobs."""
+    used: dict[str, list[int]] = {}
+    out: set[str] = set()
+    for rec in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
+        spec = rec.spec
+        team = teams.get(spec.team)
+        if team is None or rec.cancelled:
+            continue
+        u = used.setdefault(spec.team, [0, 0])
+        u[0] += spec.tasks * up(spec.cpus)
+        u[1] += spec.tasks * up(spec.gpus)
+        if u[0] <= down(team.cpus) and u[1] <= down(team.gpus):
+            out.add(spec.id)
+    return out
+
+
+def order_key(
+    spec: JobSpec, guaranteed: bool, wall: float, factor: float
+) -> tuple[int, int, float, str]:
+    """Smaller is served first: guarantees, then priority, then slack to the deadline or age."""
+    if spec.deadline_s is not None:
+        slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
+    else:
+        slack = spec.at - wall + 120.0
+    return (0 if guaranteed else 1, -PRIORITIES[spec.priority], slack, spec.id)
--- /dev/null
+++ b/marblestair/node.py
@@ -0,0 +1,277 @@
+"""The shell that joins the pure core with the network."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from marblestair import wire
+from marblestair.core.calls import (
+    NOT_SENT,
+    Call,
+    CloudDelete,
+    CloudList,
+    CloudRent,
+    CloudResult,
+    CloudTypes,
+    Commit,
+    Get,
+    LeaseGrant,
+    LeaseRenew,
+    ListKeys,
+    PeerCall,
+    StateResult,
+    Watch,
+)
+from marblestair.core.controller import Command, Controller, Reply
+from marblestair.net.budget import Budget
+from marblestair.net.http_client import HttpClient
+from marblestair.net.http_server import Connection, HttpServer
+from marblestair.net.peers import Link, PeerServer
+from marblestair.settings import Settings, split_addr
+
+log = logging.getLogger("marblestair")
+
+_LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+#: pause between ticks, as a share of the workers' report interval
+TICK = 0.2
+#: time for one call of the state service, of the cloud, and of a worker
+STATE_S, CLOUD_S, WORKER_S = 1.2, 4.0, 1.5
+
+
+class Node:
+    """One controller process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        c = settings.cluster
+        n = len(settings.nodes)
+        seed = int.from_bytes(os.urandom(7), "big")
+        self.core = Controller(settings, seed, random.Random(seed), time.monotonic(), time.time())
+        sockets = int(c.machine_limits.sockets)
+        self.server = HttpServer(
+            self._handle, time.monotonic, max(8, int(sockets * 0.7)), wire.MAX_BODY, 120.0
+        )
+        self.state = HttpClient(8, max(8, sockets // 20))
+        self.cloud = HttpClient(2, 8)
+        self.workers = HttpClient(1, max(4, sockets // 20))
+        # A few per cent stay free: clocks drift and the services count on theirs.
+        self.state_budget = Budget(c.state.rps / n * 0.95, c.state.write_rps / n * 0.95)
+        self.cloud_budget = Budget(c.cloud.rps / n * 0.9, 1.0, 10.0)
+        self.links = {p.node: Link(settings.node, p.address) for p in settings.others}
+        self.peers = PeerServer(self._on_note, self._on_ask)
+        self._requests: dict[int, Connection] = {}
+        self._asks: dict[int, Any] = {}
+        self._next = 1
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._flushing = False
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = split_addr(self.settings.public_addr)
+        await self.server.listen(host, port)
+        host, port = split_addr(self.settings.cluster_listen)
+        await self.peers.listen(host, port)
+        self._time()
+        self.core.start()
+        self._flush()
+        pause = max(0.05, TICK * self.settings.cluster.workers.report_s)
+        last_sweep = time.monotonic()
+        try:
+            while True:
+                await asyncio.sleep(pause)
+                self._time()
+                try:
+                    self.core.tick()
+                except Exception:
+                    # Nothing that arrives may end the process; the next tick tries again.
+                    log.exception("tick failed")
+                self._flush()
+                if time.monotonic() - last_sweep > 5.0:
+                    last_sweep = time.monotonic()
+                    self.server.sweep(self.server.idle_s)
+        finally:
+            self.server.close()
+            self.peers.close()
+
+    def _time(self) -> None:
+        self.core.set_time(time.monotonic(), time.time())
+
+    # --- outputs ---------------------------------------------------------------------------
+
+    def _spawn(self, coro: Any) -> None:
+        t = asyncio.create_task(coro)
+        self._tasks.add(t)
+        t.add_done_callback(self._tasks.discard)
+
+    def _flush(self) -> None:
+        core = self.core
+        while core.runner.calls:
+            calls, core.runner.calls = core.runner.calls, []
+            for n, call in calls:
+                self._spawn(self._carry_out(n, call))
+        replies, core.replies = core.replies, []
+        for r in replies:
+            conn = self._requests.pop(r.request, None)
+            if conn is not None:
+                self._answer(conn, r)
+        commands, core.commands = core.commands, []
+        for c in commands:
+            self._spawn(self._command(c))
+        notes, core.notes = core.notes, []
+        for note in notes:
+            link = self.links.get(note.node)
+            if link is not None:
+                link.note(note.tag, note.args)
+        answers, core.peer_replies = core.peer_replies, []
+        for n, value in answers:
+            send = self._asks.pop(n, None)
+            if send is not None:
+                send(value)
+        lines, core.lines = core.lines, []
+        for level, text in lines:
+            log.log(_LEVELS.get(level, logging.INFO), "%s", text)
+
+    async def _carry_out(self, n: int, call: Call) -> None:
+        result: Any
+        try:
+            result = await self._call(call)
+        except Exception:
+            log.exception("call failed")
+            result = self._nothing(call)
+        self._time()
+        self.core.complete(n, result)
+        self._flush()
+
+    def _nothing(self, call: Call) -> Any:
+        if isinstance(call, PeerCall):
+            return None
+        if isinstance(call, (CloudTypes, CloudRent, CloudDelete, CloudList)):
+            return CloudResult(0)
+        return StateResult(0)
+
+    async def _call(self, call: Call) -> Any:
+        if isinstance(call, PeerCall):
+            link = self.links.get(call.node)
+            return None if link is None else await link.ask(call.tag, call.args, call.timeout_s)
+        if isinstance(call, (Get, ListKeys, Commit, LeaseGrant, LeaseRenew, Watch)):
+            writes = call.writes if isinstance(call, Commit) else 0
+            if not await self.state_budget.take(call.lane, writes):
+                return StateResult(NOT_SENT)
+            wait = call.wait_ms / 1000 if isinstance(call, Watch) else 0.0
+            method, path, body = wire.state_request(call)
+            status, data = await self.state.request(
+                self.settings.external.state, method, path, body, STATE_S + wait
+            )
+            if status <= 0 or status >= 500:
+                log.debug("state %s %s: %s", method, path, status)
+            return wire.state_result(call, status, data)
+        if isinstance(call, (CloudTypes, CloudRent, CloudDelete, CloudList)):
+            if not await self.cloud_budget.take(1 if isinstance(call, CloudList) else 0, 0):
+                return CloudResult(NOT_SENT)
+            method, path, body = wire.cloud_request(call)
+            status, data = await self.cloud.request(
+                self.settings.external.cloud, method, path, body, CLOUD_S
+            )
+            if status != 200:
+                log.debug("cloud %s %s: %s", method, path, status)
+            return wire.cloud_result(call, status, data)
+        raise TypeError(f"unknown call {call!r}")
+
+    async def _command(self, c: Command) -> None:
+        body = wire.do_body(c.token, c.session, c.orders)
+        await self.workers.request(c.addr, "POST", wire.DO_PATH, body, WORKER_S)
+
+    # --- inputs ----------------------------------------------------------------------------
+
+    def _handle(self, conn: Connection, method: str, path: str, body: bytes) -> None:
+        try:
+            self._route(conn, method, path, body)
+        except Exception:
+            log.exception("request failed")
+            conn.respond(503, wire.pack(wire.error_answer("internal")), "Retry-After: 1\r\n")
+
+    def _route(self, conn: Connection, method: str, path: str, body: bytes) -> None:
+        action, job = wire.route_user(method, path)
+        if action == "health":
+            ok = self.core.healthy()
+            conn.respond(200 if ok else 503, wire.pack({}))
+            return
+        if action == "none":
+            conn.respond(404, wire.pack(wire.error_answer("no such path")))
+            return
+        if action == "method":
+            conn.respond(405, wire.pack(wire.error_answer("method not allowed")))
+            return
+        self._time()
+        if action == "report":
+            try:
+                rep = wire.parse_report(body)
+            except wire.BadRequest as e:
+                conn.respond(400, wire.pack(wire.error_answer(str(e))))
+                return
+            status, token, orders, node = self.core.report(rep)
+            if status == 200:
+                answer = wire.report_answer(token, orders)
+            else:
+                answer = wire.redirect_answer(node)
+            if log.isEnabledFor(logging.DEBUG):
+                log.debug("report %s -> %s %s", rep, status, orders or node)
+            conn.respond(status, wire.pack(answer))
+            self._flush()
+            return
+        spec = None
+        if action == "submit":
+            try:
+                spec = wire.parse_submit(body)
+            except wire.BadRequest as e:
+                conn.respond(400, wire.pack(wire.error_answer(str(e))))
+                return
+        elif not wire.valid_job_id(job):
+            conn.respond(404, wire.pack(wire.error_answer("no such job")))
+            return
+        n = self._next
+        self._next += 1
+        self._requests[n] = conn
+        if spec is not None:
+            self.core.spawn(self.core.jobs.submit(n, spec))
+        elif action == "query":
+            self.core.spawn(self.core.jobs.query(n, job))
+        else:
+            self.core.spawn(self.core.jobs.cancel(n, job))
+        self._flush()
+
+    def _answer(self, conn: Connection, r: Reply) -> None:
+        if r.status in (200, 201):
+            body = wire.job_answer(r.job, r.state, r.done, r.running)
+        else:
+            body = wire.error_answer(r.error)
+        extra = f"Retry-After: {r.retry_after}\r\n" if r.retry_after else ""
+        conn.respond(r.status, wire.pack(body), extra)
+
+    def _on_note(self, node: str, tag: str, args: list[Any]) -> None:
+        self._time()
+        self.core.note(node, tag, args)
+        self._flush()
+
+    def _on_ask(self, send: Any, node: str, tag: str, args: list[Any]) -> None:
+        n = self._next
+        self._next += 1
+        self._asks[n] = send
+        self._time()
+        self.core.peer_request(n, node, tag, args)
+        self._flush()
+
+
+def serve(settings: Settings) -> None:
+    """Run one controller until the process is killed."""
+    # Decoders are built on first use; do it before requests wait for them.
+    msgspec.msgpack.encode(settings.node)
+    asyncio.run(Node(settings).run())
--- /dev/null
+++ b/marblestair/settings.py
@@ -0,0 +1,200 @@
+"""The settings file that the platform hands to each controller."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from typing import Any
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the text is one line and names the field."""
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Another controller of the same deployment."""
+
+    node: str
+    address: str
+    domain: str = ""
+
+
+class External(msgspec.Struct, frozen=True):
+    """Addresses of the outside systems."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit."""
+
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    """One aim, as the operators state it."""
+
+    kind: str
+    share: float = 0.0
+    cls: str = msgspec.field(default="", name="class")
+    within_s: float = 0.0
+    within_ms: float = 0.0
+    times: float = 1.0
+    most: float = 0.0
+
+
+class Workers(msgspec.Struct, frozen=True):
+    """How workers behave in time."""
+
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    """Limits of the state service, shared by all controllers."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    """Limits of the cloud interface, shared by all controllers."""
+
+    rps: float
+    list_lag_s: float
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What one controller process may use."""
+
+    core_share: float = 1.0
+    mem_mb: float = 256.0
+    sockets: float = 512.0
+
+
+class Cluster(msgspec.Struct, frozen=True):
+    """Everything that all controllers share."""
+
+    size: int
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    zones: list[str] = []
+    skew_ms: float = 1000.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    machine_limits: MachineLimits = MachineLimits()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """One controller's settings."""
+
+    node: str
+    public_addr: str
+    cluster_listen: str
+    external: External
+    cluster: Cluster
+    domain: str = ""
+    others: list[Peer] = []
+
+    @property
+    def nodes(self) -> list[str]:
+        """Names of all controllers, in the same order everywhere."""
+        return sorted([self.node, *(p.node for p in self.others)])
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    """Split ``host:port``; raise ValueError when it is not of that form."""
+    host, colon, port = addr.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address of the form host:port: {addr!r}")
+    return host, int(port)
+
+
+def _check(s: Settings) -> None:
+    addrs = [
+        ("public_addr", s.public_addr),
+        ("cluster_listen", s.cluster_listen),
+        ("external.cloud", s.external.cloud),
+        ("external.state", s.external.state),
+    ]
+    addrs += [(f"others[{i}].address", p.address) for i, p in enumerate(s.others)]
+    for name, addr in addrs:
+        try:
+            split_addr(addr)
+        except ValueError as e:
+            raise SettingsError(f"{name}: {e}") from None
+    if not s.node:
+        raise SettingsError("node: must not be empty")
+    if len(set(s.nodes)) != len(s.nodes):
+        raise SettingsError("others: node names must be unique")
+    c = s.cluster
+    if c.size < 1:
+        raise SettingsError("cluster.size: must be at least 1")
+    positive = [
+        ("cluster.workers.report_s", c.workers.report_s),
+        ("cluster.workers.lease_s", c.workers.lease_s),
+        ("cluster.workers.gang_wait_s", c.workers.gang_wait_s),
+        ("cluster.workers.gang_peer_s", c.workers.gang_peer_s),
+        ("cluster.workers.cancel_s", c.workers.cancel_s),
+        ("cluster.state.rps", c.state.rps),
+        ("cluster.state.write_rps", c.state.write_rps),
+        ("cluster.state.value_kb", c.state.value_kb),
+        ("cluster.state.txn_ops", c.state.txn_ops),
+        ("cluster.cloud.rps", c.cloud.rps),
+        ("cluster.machine_limits.sockets", c.machine_limits.sockets),
+    ]
+    for name, value in positive:
+        if not (math.isfinite(value) and value > 0):
+            raise SettingsError(f"{name}: must be a number above 0")
+    for name, value in (
+        ("cluster.skew_ms", c.skew_ms),
+        ("cluster.cloud.list_lag_s", c.cloud.list_lag_s),
+    ):
+        if not (math.isfinite(value) and value >= 0):
+            raise SettingsError(f"{name}: must be a number of 0 or more")
+    seen: set[str] = set()
+    for i, t in enumerate(c.teams):
+        if t.name in seen:
+            raise SettingsError(f"cluster.teams[{i}].name: {t.name!r} appears twice")
+        seen.add(t.name)
+        for field in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            v = getattr(t, field)
+            if not (math.isfinite(v) and v >= 0):
+                raise SettingsError(f"cluster.teams[{i}].{field}: must be a number of 0 or more")
+
+
+def parse(data: dict[str, Any]) -> Settings:
+    """Build checked settings from a parsed TOML table."""
+    try:
+        s = msgspec.convert(data, Settings)
+    except msgspec.ValidationError as e:
+        text = str(e)
+        what, _, where = text.rpartition(" - at `$")
+        raise SettingsError(f"{where.strip('`.') or 'settings'}: {what or text}") from None
+    _check(s)
+    return s
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file."""
+    try:
+        with open(path, "rb") as f:
+            data = tomllib.load(f)
+    except OSError as e:
+        raise SettingsError(f"{path}: {e.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        raise SettingsError(f"{path}: {e}") from None
+    return parse(data)
--- /dev/null
+++ b/marblestair/wire.py
@@ -0,0 +1,439 @@
+"""The users' field names, paths and words: the only place where they appear.
+
+Everything that crosses an outside interface is encoded and decoded here; the rest of the
+program uses the field's standard names (token, session, machine, task, attempt, team).
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from marblestair.core.calls import (
+    CloudDelete,
+    CloudList,
+    CloudOp,
+    CloudRent,
+    CloudResult,
+    CloudTypes,
+    Commit,
+    Event,
+    Get,
+    Item,
+    LeaseGrant,
+    LeaseRenew,
+    Listed,
+    ListKeys,
+    StateOp,
+    StateResult,
+    Watch,
+)
+from marblestair.core.model import (
+    ARRAY,
+    GANG,
+    JobSpec,
+    MachineType,
+    Order,
+    Report,
+    TaskReport,
+    finite,
+)
+
+MAX_BODY = 64 * 1024
+MAX_TASKS = 100_000
+MAX_INT = 2**64
+
+CONTENT_TYPE = "application/msgpack"
+
+_KINDS = {"batch": ARRAY, "group": GANG}
+_PRIORITIES = {"prod": "production", "high": "high", "normal": "normal", "low": "low"}
+_JOB_STATES = {"queued": "queued", "running": "running", "done": "done", "cancelled": "aborted"}
+_TASK_STATES = {
+    "pulling": "fetching",
+    "waiting": "waiting",
+    "running": "running",
+    "saving": "saving",
+    "exited": "exited",
+}
+_WHYS = {
+    "halted": "stopped",
+    "mates_gone": "peers",
+    "in_use": "busy",
+}
+_OPS = {"start": "launch", "stop": "stop", "forget": "reap"}
+
+#: "job-" and a whole number; digits only, so that ids stay short and safe in keys
+_JOB_ID = re.compile(r"job-[0-9]{1,20}\Z")
+
+
+class BadRequest(Exception):
+    """The body is malformed."""
+
+
+def valid_job_id(ref: str) -> bool:
+    """Whether an id has the form in which users choose them."""
+    return _JOB_ID.match(ref) is not None
+
+
+def pack(value: Any) -> bytes:
+    """Encode a body."""
+    return msgspec.msgpack.encode(value)
+
+
+# --- users ---------------------------------------------------------------------------------
+
+
+class _Submit(msgspec.Struct):
+    ref: str
+    jobclass: str
+    owner: str
+    shape: str
+    urgency: str
+    pieces: int
+    cpus: float
+    gpus: float
+    mem_gb: float
+    bundle: str
+    size_gb: float
+    together: bool
+    scatter: bool
+    loaners: bool
+    expected_s: float
+    bookmark_s: float
+    bookmark_cost_s: float
+    builds: list[str] | None = None
+    room: str | None = None
+    due_s: float | None = None
+
+
+_submit = msgspec.msgpack.Decoder(_Submit)
+
+#: bound on names that end up in records; longer ones are refused as malformed
+_MAX_NAME = 200
+
+
+def parse_submit(body: bytes) -> JobSpec:
+    """Decode and check a submission; raise BadRequest when it is malformed."""
+    if len(body) > MAX_BODY:
+        raise BadRequest("body too large")
+    try:
+        s = _submit.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError) as e:
+        raise BadRequest(str(e)) from None
+    if not valid_job_id(s.ref):
+        raise BadRequest("ref: not of the form job-NUMBER")
+    if s.shape not in _KINDS:
+        raise BadRequest("shape: unknown")
+    if s.urgency not in _PRIORITIES:
+        raise BadRequest("urgency: unknown")
+    if not 1 <= s.pieces <= MAX_TASKS:
+        raise BadRequest(f"pieces: must be from 1 to {MAX_TASKS}")
+    amounts = (s.cpus, s.gpus, s.mem_gb, s.size_gb, s.expected_s, s.bookmark_s)
+    if not finite(*amounts, s.bookmark_cost_s, s.due_s):
+        raise BadRequest("an amount is negative, infinite or not a number")
+    if max(*amounts, s.bookmark_cost_s, s.due_s or 0.0) > 1e12:
+        raise BadRequest("an amount is out of range")
+    names = [s.jobclass, s.owner, s.bundle, s.room or "", *(s.builds or [])]
+    if any(len(n) > _MAX_NAME for n in names) or len(names) > 100:
+        raise BadRequest("a name is too long")
+    return JobSpec(
+        id=s.ref,
+        cls=s.jobclass,
+        team=s.owner,
+        kind=_KINDS[s.shape],
+        priority=_PRIORITIES[s.urgency],
+        tasks=s.pieces,
+        cpus=s.cpus,
+        gpus=s.gpus,
+        mem_gb=s.mem_gb,
+        image=s.bundle,
+        image_gb=s.size_gb,
+        types=s.builds,
+        zone=s.room,
+        one_zone=s.together,
+        spread=s.scatter,
+        spot=s.loaners,
+        estimate_s=s.expected_s,
+        checkpoint_s=s.bookmark_s,
+        save_s=s.bookmark_cost_s,
+        deadline_s=s.due_s,
+    )
+
+
+def job_answer(
+    job: str, state: str, done: int | None = None, running: int | None = None
+) -> dict[str, Any]:
+    """The body that tells a user about a job."""
+    out: dict[str, Any] = {"ref": job, "status": _JOB_STATES[state]}
+    if done is not None:
+        out["done"] = done
+        out["running"] = running or 0
+    return out
+
+
+def error_answer(text: str) -> dict[str, Any]:
+    """The body of a refusal."""
+    return {"error": text}
+
+
+def route_user(method: str, path: str) -> tuple[str, str]:
+    """Map a request line to ``(action, job id)``; unknown ones to ``none`` or ``method``."""
+    if path == "/v1/report":
+        return ("report" if method == "POST" else "method"), ""
+    if path == "/healthz":
+        return ("health" if method == "GET" else "method"), ""
+    if path == "/v1/jobs":
+        return ("submit" if method == "POST" else "method"), ""
+    if path.startswith("/v1/jobs/"):
+        job, slash, end = path[len("/v1/jobs/") :].partition("/")
+        if not slash:
+            return ("query" if method == "GET" else "method"), job
+        if end == "withdraw":
+            return ("cancel" if method == "POST" else "method"), job
+    return "none", ""
+
+
+# --- workers -------------------------------------------------------------------------------
+
+
+class _Piece(msgspec.Struct):
+    piece: str
+    attempt: int = msgspec.field(name="try")
+    status: str
+    cause: str | None = None
+    stored: bool | None = None
+
+
+class _Report(msgspec.Struct):
+    bench: str
+    endpoint: str
+    build: str
+    room: str
+    loaners: bool
+    shift: int
+    tally: int
+    baton: int = 0
+    recall_s: float | None = None
+    pieces: list[_Piece] = []
+
+
+_report = msgspec.msgpack.Decoder(_Report)
+
+
+def parse_report(body: bytes) -> Report:
+    """Decode a worker's report; raise BadRequest when it is malformed."""
+    try:
+        r = _report.decode(body)
+        tasks = []
+        for p in r.pieces:
+            job, _, index = p.piece.rpartition("/")
+            why = p.cause or ""
+            state = _TASK_STATES.get(p.status, p.status)
+            tasks.append(
+                TaskReport(job, int(index), p.attempt, state, _WHYS.get(why, why), bool(p.stored))
+            )
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError) as e:
+        raise BadRequest(str(e)) from None
+    return Report(
+        r.bench,
+        r.endpoint,
+        r.build,
+        r.room,
+        r.loaners,
+        r.shift,
+        r.tally,
+        r.baton,
+        r.recall_s,
+        tasks,
+    )
+
+
+def _order(o: Order) -> dict[str, Any]:
+    out: dict[str, Any] = {"verb": _OPS[o.op], "piece": f"{o.job}/{o.index}", "try": o.attempt}
+    if o.op == "stop":
+        out["wind_down_s"] = o.grace_s
+    return out
+
+
+def report_answer(token: int, orders: list[Order]) -> dict[str, Any]:
+    """The body of a 200 to a worker's report."""
+    return {"baton": token, "orders": [_order(o) for o in orders]}
+
+
+def redirect_answer(node: str | None) -> dict[str, Any]:
+    """The body of a 421 to a worker."""
+    return {"foreman": node} if node else {}
+
+
+DO_PATH = "/do"
+
+
+def do_body(token: int, session: int, orders: list[Order]) -> bytes:
+    """The body of a direct command."""
+    return pack({"baton": token, "shift": session, "orders": [_order(o) for o in orders]})
+
+
+# --- cloud ---------------------------------------------------------------------------------
+
+
+class _Type(msgspec.Struct):
+    sku: str
+    cpus: float
+    gpus: float
+    mem_gb: float
+    local_gb: float
+    fetch_gb_per_s: float
+    hourly: float
+    market_price: float
+    startup_s: float
+    rooms: list[str]
+
+
+class _Types(msgspec.Struct):
+    builds: list[_Type]
+
+
+class _Rented(msgspec.Struct):
+    benches: list[str]
+
+
+class _Bench(msgspec.Struct):
+    ref: str
+    endpoint: str
+    build: str
+    room: str
+    loaners: bool
+    status: str
+    age_s: float
+
+
+class _Benches(msgspec.Struct):
+    benches: list[_Bench]
+    more: bool = False
+
+
+def cloud_request(op: CloudOp) -> tuple[str, str, bytes]:
+    """Encode a cloud call as method, path and body."""
+    if isinstance(op, CloudTypes):
+        return "GET", "/machine_types", b""
+    if isinstance(op, CloudRent):
+        body = {
+            "hire": op.name,
+            "build": op.type,
+            "room": op.zone,
+            "loaners": op.spot,
+            "how_many": op.count,
+        }
+        return "POST", "/rentals", pack(body)
+    if isinstance(op, CloudDelete):
+        return "POST", "/rentals/release", pack({"benches": op.machines})
+    path = f"/rentals?limit={op.limit}"
+    if op.after:
+        path += "&from=" + quote(op.after)
+    return "GET", path, b""
+
+
+def cloud_result(op: CloudOp, status: int, body: bytes) -> CloudResult:
+    """Decode a cloud answer; a malformed one counts as no answer."""
+    try:
+        if status == 503:
+            err = msgspec.msgpack.decode(body) if body else {}
+            text = err.get("error", "") if isinstance(err, dict) else ""
+            return CloudResult(503, no_capacity=text == "no capacity")
+        if status != 200:
+            return CloudResult(status)
+        if isinstance(op, CloudTypes):
+            types = msgspec.msgpack.decode(body, type=_Types)
+            return CloudResult(
+                200,
+                types=[
+                    MachineType(
+                        t.sku,
+                        t.cpus,
+                        t.gpus,
+                        t.mem_gb,
+                        t.local_gb,
+                        t.fetch_gb_per_s,
+                        t.hourly,
+                        t.market_price,
+                        t.startup_s,
+                        t.rooms,
+                    )
+                    for t in types.builds
+                ],
+            )
+        if isinstance(op, CloudRent):
+            return CloudResult(200, machines=msgspec.msgpack.decode(body, type=_Rented).benches)
+        if isinstance(op, CloudList):
+            page = msgspec.msgpack.decode(body, type=_Benches)
+            listed = [
+                Listed(b.ref, b.endpoint, b.build, b.room, b.loaners, b.status, b.age_s)
+                for b in page.benches
+            ]
+            return CloudResult(200, listed=listed, more=page.more)
+        return CloudResult(200)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+        return CloudResult(0)
+
+
+# --- state service -------------------------------------------------------------------------
+
+
+def state_request(op: StateOp) -> tuple[str, str, bytes]:
+    """Encode a state-service call as method, path and body."""
+    if isinstance(op, Get):
+        return "GET", "/keys/" + op.key, b""
+    if isinstance(op, ListKeys):
+        path = f"/keys?starts={quote(op.prefix, safe='/')}&limit={op.limit}"
+        if op.after:
+            path += "&from=" + quote(op.after, safe="/")
+        return "GET", path, b""
+    if isinstance(op, Commit):
+        ops: list[dict[str, Any]] = []
+        for p in op.puts:
+            item: dict[str, Any] = {"set": p.key, "value": p.value}
+            if p.lease is not None:
+                item["tenancy"] = p.lease
+            ops.append(item)
+        ops += [{"delete": k} for k in op.deletes]
+        body: dict[str, Any] = {"guards": [{"path": k, "stamp": v} for k, v in op.guards]}
+        if ops:
+            body["apply"] = ops
+        return "POST", "/commit", pack(body)
+    if isinstance(op, LeaseGrant):
+        return "POST", "/leases", pack({"ttl_ms": op.ttl_ms})
+    if isinstance(op, LeaseRenew):
+        return "POST", f"/leases/{op.lease}/renew", b""
+    wait = f"&hold_ms={op.wait_ms}"
+    return "GET", f"/watch?starts={quote(op.prefix, safe='/')}&from={op.rev}{wait}", b""
+
+
+def state_result(op: StateOp, status: int, body: bytes) -> StateResult:
+    """Decode a state-service answer; a malformed one counts as no answer."""
+    try:
+        data = msgspec.msgpack.decode(body) if body else {}
+        if not isinstance(data, dict):
+            raise ValueError("not a map")
+        if status == 200 and isinstance(op, Get):
+            return StateResult(200, value=data["value"], version=int(data["stamp"]))
+        if status == 200 and isinstance(op, ListKeys):
+            items = [Item(i["path"], i["value"], int(i["stamp"])) for i in data["items"]]
+            more = bool(data.get("more"))
+            return StateResult(200, items=items, more=more, rev=int(data["ledger_rev"]))
+        if status == 200 and isinstance(op, Watch):
+            events = [
+                Event(e["set"], e["value"], int(e["stamp"]))
+                if e.get("set") is not None
+                else Event(e["delete"], None, int(e["stamp"]))
+                for e in data["log"]
+            ]
+            return StateResult(200, events=events, rev=int(data["ledger_rev"]))
+        if isinstance(op, LeaseGrant) and status == 200:
+            return StateResult(200, lease=int(data["tenancy"]))
+        failed = data.get("failed") or []
+        return StateResult(status, rev=int(data.get("ledger_rev") or 0), failed=list(failed))
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError, KeyError, TypeError):
+        return StateResult(status if status >= 400 else 0)
