--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -22,7 +22,9 @@
     return int((Decimal(repr(x)) * UNIT).to_integral_value(ROUND_FLOOR))
 
 
-ARRAY, GANG = "array", "gang"
+#: independent tasks that run to completion; tasks that run together or not at all; independent
+#: tasks that run until their job is cancelled
+ARRAY, GANG, SERVICE = "array", "gang", "service"
 PRIORITIES = {"production": 3, "high": 2, "normal": 1, "low": 0}
 
 
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -14,6 +14,7 @@
 
 from marblestair.core.model import (
     GANG,
+    SERVICE,
     JobRecord,
     JobSpec,
     MachineType,
@@ -302,7 +303,7 @@
                 p.grace, p.why_stop = 0.0, "gang"
 
     def _done(self, s: Slice, index: int, now: float) -> None:
-        if (s.done >> index) & 1 or not s.holds(index):
+        if (s.done >> index) & 1 or not s.holds(index) or s.spec.kind == SERVICE:
             return
         s.done |= 1 << index
         s.done_count += 1
@@ -527,7 +528,8 @@
         orders: list[Order] = []
         for key, (attempt, done) in m.exited.items():
             s = self.slices.get(key[0])
-            if done and s is not None and not (s.durable >> key[1]) & 1 and s.holds(key[1]):
+            kept = done and s is not None and s.holds(key[1]) and s.spec.kind != SERVICE
+            if kept and s is not None and not (s.durable >> key[1]) & 1:
                 continue
             orders.append(Order("forget", key[0], key[1], attempt))
         for key, attempt in m.strays.items():
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from marblestair.core.model import ARRAY, PRIORITIES, JobRecord, JobSpec, MachineType, down, up
+from marblestair.core.model import GANG, PRIORITIES, JobRecord, JobSpec, MachineType, down, up
 from marblestair.settings import Team
 
 
@@ -20,7 +20,7 @@
     ]
     if not any(t.fits(need) for t in options):
         return "a task fits no allowed machine type"
-    n = 1 if spec.kind == ARRAY else spec.tasks
+    n = spec.tasks if spec.kind == GANG else 1
     if n * need[0] > down(team.cpus_max) or n * need[1] > down(team.gpus_max):
         return "more than the team's limit"
     return None
--- a/marblestair/net/budget.py
+++ b/marblestair/net/budget.py
@@ -13,7 +13,9 @@
         self.rps = rps
         self.write_rps = write_rps
         self.max_wait_s = max_wait_s
-        self._tokens = rps
+        # A bucket smaller than one request would never let any through.
+        self.burst = max(1.0, rps)
+        self._tokens = self.burst
         self._writes = write_rps
         self._at: float | None = None
         self._heap: list[tuple[int, int, int, float, asyncio.Future[bool]]] = []
@@ -23,7 +25,7 @@
     def _fill(self, now: float) -> None:
         if self._at is not None:
             dt = max(0.0, now - self._at)
-            self._tokens = min(self.rps, self._tokens + dt * self.rps)
+            self._tokens = min(self.burst, self._tokens + dt * self.rps)
             self._writes = min(self.write_rps, self._writes + dt * self.write_rps)
         self._at = now
 
--- a/marblestair/wire.py
+++ b/marblestair/wire.py
@@ -34,6 +34,7 @@
 from marblestair.core.model import (
     ARRAY,
     GANG,
+    SERVICE,
     JobSpec,
     MachineType,
     Order,
@@ -48,7 +49,7 @@
 
 CONTENT_TYPE = "application/msgpack"
 
-_KINDS = {"batch": ARRAY, "group": GANG}
+_KINDS = {"batch": ARRAY, "group": GANG, "daemon": SERVICE}
 _PRIORITIES = {"prod": "production", "high": "high", "normal": "normal", "low": "low"}
 _JOB_STATES = {"queued": "queued", "running": "running", "done": "done", "cancelled": "aborted"}
 _TASK_STATES = {
--- /dev/null
+++ b/tests/fakes/state.py
@@ -0,0 +1,111 @@
+"""An in-memory stand-in of the state service: versions, leases, watches, limits, outages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from marblestair.core.calls import (
+    Commit,
+    Event,
+    Get,
+    Item,
+    LeaseGrant,
+    LeaseRenew,
+    ListKeys,
+    StateOp,
+    StateResult,
+)
+
+
+class FakeState:
+    """Executes operations at once; delays, losses and late copies are the world's part."""
+
+    def __init__(self) -> None:
+        self.rev = 0
+        self.data: dict[str, tuple[Any, int, int | None]] = {}
+        self.log: list[Event] = []
+        self.leases: dict[int, list[float]] = {}
+        self._next_lease = 1
+        self.down = False
+        self.refused_nodes: set[str] = set()
+        self.writes = 0
+
+    def outage(self, down: bool, now: float) -> None:
+        """Begin or end an outage; at its end all leases have their full time again."""
+        self.down = down
+        if not down:
+            for lease in self.leases.values():
+                lease[1] = now + lease[0]
+
+    def expire(self, now: float) -> None:
+        """End the leases whose time is over."""
+        if self.down:
+            return
+        for n in [n for n, (_, end) in self.leases.items() if end + 0.05 < now]:
+            del self.leases[n]
+            dead = [k for k, v in self.data.items() if v[2] == n]
+            if dead:
+                self.rev += 1
+                for k in dead:
+                    del self.data[k]
+                    self.log.append(Event(k, None, self.rev))
+
+    def execute(self, op: StateOp, node: str, now: float) -> StateResult:
+        """Carry out one operation."""
+        self.expire(now)
+        if self.down or node in self.refused_nodes:
+            return StateResult(503)
+        if isinstance(op, Get):
+            if op.key not in self.data:
+                return StateResult(404, rev=self.rev)
+            value, version, _ = self.data[op.key]
+            return StateResult(200, value=value, version=version)
+        if isinstance(op, ListKeys):
+            found = sorted(k for k in self.data if k.startswith(op.prefix) and k > op.after)
+            items = [Item(k, self.data[k][0], self.data[k][1]) for k in found[: op.limit]]
+            more = len(found) > op.limit
+            return StateResult(200, items=items, more=more, rev=self.rev)
+        if isinstance(op, LeaseGrant):
+            n = self._next_lease
+            self._next_lease += 1
+            self.leases[n] = [op.ttl_ms / 1000, now + op.ttl_ms / 1000]
+            return StateResult(200, lease=n)
+        if isinstance(op, LeaseRenew):
+            if op.lease not in self.leases:
+                return StateResult(404)
+            self.leases[op.lease][1] = now + self.leases[op.lease][0]
+            return StateResult(200)
+        if isinstance(op, Commit):
+            return self._commit(op)
+        raise TypeError(op)
+
+    def _commit(self, op: Commit) -> StateResult:
+        if any(p.lease is not None and p.lease not in self.leases for p in op.puts):
+            return StateResult(400)
+        failed = [k for k, v in op.guards if (self.data[k][1] if k in self.data else 0) != v]
+        if failed:
+            return StateResult(409, rev=self.rev, failed=failed)
+        if op.puts or op.deletes:
+            self.rev += 1
+            self.writes += op.writes
+        for p in op.puts:
+            # As on the wire: what is stored is a copy made of plain values.
+            value = msgspec.msgpack.decode(msgspec.msgpack.encode(p.value))
+            self.data[p.key] = (value, self.rev, p.lease)
+            self.log.append(Event(p.key, value, self.rev))
+        for k in op.deletes:
+            if self.data.pop(k, None) is not None:
+                self.log.append(Event(k, None, self.rev))
+        return StateResult(200, rev=self.rev)
+
+    def changes(self, prefix: str, rev: int) -> list[Event]:
+        """What a watch from a revision would return."""
+        out = []
+        for e in reversed(self.log):
+            if e.version <= rev:
+                break
+            if e.key.startswith(prefix):
+                out.append(e)
+        return out[::-1]
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,252 @@
+"""What malformed input gets: on the users' interface, from workers, in settings."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import pathlib
+from typing import Any
+
+import msgspec
+import pytest
+
+from marblestair import cli, wire
+from marblestair.net.http_server import HttpServer
+from marblestair.net.peers import PeerServer, frame
+from marblestair.settings import SettingsError, parse
+from tests.fakes.world import settings
+
+GOOD: dict[str, Any] = {
+    "ref": "job-000412",
+    "jobclass": "train",
+    "owner": "red",
+    "shape": "batch",
+    "urgency": "high",
+    "pieces": 4,
+    "cpus": 2.0,
+    "gpus": 0.0,
+    "mem_gb": 4.0,
+    "bundle": "img-07",
+    "size_gb": 1.5,
+    "builds": ["t4"],
+    "room": None,
+    "together": False,
+    "scatter": False,
+    "loaners": True,
+    "expected_s": 20.0,
+    "bookmark_s": 0.0,
+    "bookmark_cost_s": 0.0,
+    "due_s": 60.0,
+}
+
+
+def test_a_good_submission_with_unknown_and_omitted_fields() -> None:
+    body = {k: v for k, v in GOOD.items() if k not in ("room", "builds", "due_s")}
+    spec = wire.parse_submit(wire.pack({**body, "later_field": [1, 2]}))
+    assert (spec.id, spec.kind, spec.types, spec.deadline_s) == ("job-000412", "array", None, None)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"ref": "task-1"},
+        {"ref": "job-1/../x"},
+        {"ref": 7},
+        {"pieces": 0},
+        {"pieces": 100_001},
+        {"pieces": -3},
+        {"pieces": "many"},
+        {"cpus": math.nan},
+        {"mem_gb": math.inf},
+        {"cpus": -1.0},
+        {"cpus": 1e300},
+        {"expected_s": "long"},
+        {"due_s": -5.0},
+        {"shape": "blob"},
+        {"urgency": "now"},
+        {"together": "yes"},
+        {"builds": "t4"},
+        {"bundle": "x" * 1000},
+        {"owner": None},
+    ],
+)
+def test_malformed_submissions(change: dict[str, Any]) -> None:
+    with pytest.raises(wire.BadRequest):
+        wire.parse_submit(wire.pack({**GOOD, **change}))
+
+
+@pytest.mark.parametrize("field", sorted(set(GOOD) - {"builds", "room", "due_s"}))
+def test_a_missing_field(field: str) -> None:
+    with pytest.raises(wire.BadRequest):
+        wire.parse_submit(wire.pack({k: v for k, v in GOOD.items() if k != field}))
+
+
+@pytest.mark.parametrize("body", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x91" * 5000, b"{}"])
+def test_bodies_that_are_no_map(body: bytes) -> None:
+    with pytest.raises(wire.BadRequest):
+        wire.parse_submit(body)
+    with pytest.raises(wire.BadRequest):
+        wire.parse_report(body)
+
+
+def test_malformed_answers_of_outside_systems_count_as_failed_calls() -> None:
+    from marblestair.core.calls import CloudRent, Get, Watch
+
+    for body in (b"", b"\xc1", wire.pack([1]), wire.pack({"benches": 3})):
+        assert wire.cloud_result(CloudRent("r", "t", "z", False, 1), 200, body).status == 0
+        assert wire.state_result(Get("k"), 200, body).status == 0
+        assert wire.state_result(Watch("k", 1, 1), 200, body).status == 0
+
+
+class FakeTransport:
+    """Records what a protocol writes."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+    def pause_reading(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+def talk(data: bytes) -> tuple[list[tuple[str, str, bytes]], FakeTransport]:
+    seen: list[tuple[str, str, bytes]] = []
+
+    def handler(conn: Any, method: str, path: str, body: bytes) -> None:
+        seen.append((method, path, body))
+        conn.respond(200, b"ok")
+
+    from marblestair.net.http_server import Connection
+
+    server = HttpServer(handler, lambda: 0.0, 10, wire.MAX_BODY, 60.0)
+    conn = Connection(server)
+    t = FakeTransport()
+    conn.connection_made(t)
+    for i in range(0, len(data), 3000):
+        if not t.closed:
+            conn.data_received(data[i : i + 3000])
+    return seen, t
+
+
+def test_http_keeps_the_connection_and_answers() -> None:
+    one = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
+    seen, t = talk(one + one)
+    assert seen == [("POST", "/v1/jobs", b"hi")] * 2
+    assert t.data.count(b"HTTP/1.1 200 OK") == 2 and not t.closed
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"NONSENSE\r\n\r\n",
+        b"\x00\x01\x02" * 10,
+        b"GET / HTTP/1.1\r\n" + b"A: " + b"b" * 40_000 + b"\r\n\r\n",
+        b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000,
+    ],
+)
+def test_broken_or_oversized_http_is_refused_and_closed(data: bytes) -> None:
+    seen, t = talk(data)
+    assert seen == []
+    assert t.closed and t.data.startswith(b"HTTP/1.1 400 ")
+
+
+def test_connections_are_bounded() -> None:
+    from marblestair.net.http_server import Connection
+
+    server = HttpServer(lambda *_: None, lambda: 0.0, 2, 100, 60.0)
+    transports = [FakeTransport() for _ in range(3)]
+    for t in transports:
+        Connection(server).connection_made(t)
+    assert [t.closed for t in transports] == [False, False, True]
+
+
+def test_unknown_paths_and_methods() -> None:
+    assert wire.route_user("GET", "/nothing")[0] == "none"
+    assert wire.route_user("GET", "/v1/jobs/job-1/other")[0] == "none"
+    assert wire.route_user("DELETE", "/v1/jobs/job-1")[0] == "method"
+    assert wire.route_user("GET", "/v1/jobs")[0] == "method"
+    assert wire.route_user("GET", "/v1/report")[0] == "method"
+    assert wire.route_user("POST", "/v1/jobs/job-1/withdraw") == ("cancel", "job-1")
+
+
+def test_malformed_peer_frames_close_that_connection_only() -> None:
+    from marblestair.net.peers import _Framed
+
+    notes: list[Any] = []
+    server = PeerServer(lambda *a: notes.append(a), lambda *a: None)
+    for data in (b"\xff" * 8, frame([])[:4] + b"\xc1", frame({"a": 1}), frame([])):  # type: ignore[arg-type]
+        conn = _Framed(server._message)
+        t = FakeTransport()
+        conn.connection_made(t)
+        conn.data_received(data)
+        assert t.closed
+    conn = _Framed(server._message)
+    conn.connection_made(FakeTransport())
+    whole = frame(["note", "n1", "gossip", [1, []]])
+    for i in range(len(whole)):
+        conn.data_received(whole[i : i + 1])
+    assert notes == [("n1", "gossip", [1, []])]
+
+
+def test_malformed_notes_do_not_end_the_core() -> None:
+    from tests.fakes.world import World
+
+    w = World(1)
+    w.run(3.0)
+    core = w.cores["n0"]
+    assert core is not None
+    core.note("n1", "gossip", [])
+    core.note("n1", "gossip", [1, [["x"]]])
+    core.note("n1", "progress", [[1, 2]])
+    core.note("n1", "what", [1])
+    assert sum(level == "error" for level, _ in core.lines) == 3
+    core.lines.clear()
+    w.run(1.0)
+
+
+def test_settings_errors_name_the_field(tmp_path: pathlib.Path, capsys: Any) -> None:
+    good = msgspec.to_builtins(settings(0))
+    parse(good)
+    for path, value, text in (
+        (("public_addr",), "nowhere", "public_addr"),
+        (("cluster", "workers", "lease_s"), 0.0, "cluster.workers.lease_s"),
+        (("cluster", "size"), "three", "cluster.size"),
+        (("cluster", "state", "rps"), math.nan, "cluster.state.rps"),
+        (("external",), {"cloud": "1.2.3.4:5"}, "external"),
+    ):
+        bad = msgspec.json.decode(msgspec.json.encode(good))
+        at = bad
+        for p in path[:-1]:
+            at = at[p]
+        at[path[-1]] = value
+        with pytest.raises(SettingsError, match=text):
+            parse(bad)
+    f = tmp_path / "s.toml"
+    f.write_text("node = \n")
+    assert cli.main(["--check", str(f)]) == 2
+    assert cli.main(["--config", str(tmp_path / "absent.toml")]) == 2
+    err = capsys.readouterr().err.strip().splitlines()
+    assert len(err) == 2 and all(x.startswith("marblestair: ") for x in err)
+
+
+def test_the_budget_lets_the_lower_lane_go_first_and_serves_small_rates() -> None:
+    from marblestair.net.budget import Budget
+
+    async def story() -> list[str]:
+        b = Budget(0.6, 1.0, max_wait_s=0.0)
+        assert await b.take(1, 0)
+        # The bucket is empty now; a call that cannot wait is told so at once.
+        return ["refused" if not await b.take(0, 0) else "served"]
+
+    assert asyncio.run(story()) == ["refused"]
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,326 @@
+"""Stories of whole deployments, told against the fakes under simulated time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes.world import World, spec
+
+
+def warm(seed: int = 1, **cluster: object) -> World:
+    w = World(seed, **cluster)  # type: ignore[arg-type]
+    w.run(4.0)
+    return w
+
+
+def owner(w: World, part: int) -> str:
+    core = next(c for c in w.cores.values() if c is not None)
+    assert core.view.split is not None
+    return core.view.split.parts[part].owner
+
+
+def test_quiet_run_of_arrays_and_gangs() -> None:
+    w = warm()
+    jobs = [w.submit(spec(i, kind="gang" if i % 3 == 0 else "array")) for i in range(1, 7)]
+    assert all(w.finish(j, 120.0) for j in jobs)
+    assert not w.broken
+    # Every part had an owner of its own.
+    assert sorted(owner(w, i) for i in range(3)) == ["n0", "n1", "n2"]
+
+
+def test_killed_owner_runs_no_task_twice() -> None:
+    w = warm(2)
+    jobs = [w.submit(spec(i, tasks=9, estimate_s=12.0)) for i in range(1, 4)]
+    w.run(12.0)
+    assert w.starts
+    w.kill("n1", back_after=8.0)
+    assert all(w.finish(j, 200.0) for j in jobs)
+    assert not w.broken
+    w.run(30.0)
+    # Parts went back to the node that returned.
+    assert sorted(owner(w, i) for i in range(3)) == ["n0", "n1", "n2"]
+
+
+def test_all_nodes_killed_nothing_forgotten() -> None:
+    w = warm(3)
+    jobs = [w.submit(spec(i, tasks=5, estimate_s=10.0)) for i in range(1, 5)]
+    w.run(9.0)
+    for x in w.node_names:
+        w.kill(x, back_after=5.0)
+    w.run(6.0)
+    assert all(w.finish(j, 200.0) for j in jobs)
+    assert all(w.state_of(j) == "done" for j in jobs)
+    assert not w.broken
+
+
+def test_restart_within_a_fraction_of_a_second() -> None:
+    w = warm(4)
+    jobs = [w.submit(spec(i, tasks=8, estimate_s=10.0)) for i in range(1, 4)]
+    w.run(9.0)
+    running = len(w.starts)
+    for x in w.node_names:
+        w.kill(x, back_after=0.2)
+        w.run(1.5)
+    assert all(w.finish(j, 200.0) for j in jobs)
+    assert not w.broken
+    # Running tasks went on: their machines kept their leases.
+    assert all(m.session == 1 for m in w.workers.values() if m.up and not m.deleted)
+    assert running
+
+
+def test_late_report_and_late_command_of_an_earlier_owner() -> None:
+    w = warm(5)
+    jobs = [w.submit(spec(i, tasks=9, estimate_s=15.0)) for i in range(1, 4)]
+    w.run(10.0)
+    # Everything to and from n0 is held back, while another node takes its part.
+    w.isolate("n0", hold=True)
+    w.run(20.0)
+    w.heal()
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken
+
+
+def test_cut_node_with_an_old_token_does_not_act() -> None:
+    w = warm(6)
+    jobs = [w.submit(spec(i, tasks=9, estimate_s=15.0)) for i in range(1, 4)]
+    w.run(8.0)
+    # n2 still reaches its workers, but not the state service: its authority must end.
+    w.isolate("n2", "state", "n0", "n1")
+    w.run(9.0)
+    core = w.cores["n2"]
+    assert core is not None
+    assert core.acting() == []
+    assert owner(w, 2) != "n2"
+    w.heal()
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken
+
+
+def test_cancel_racing_launches_and_a_takeover() -> None:
+    w = warm(7)
+    jobs = [w.submit(spec(i, tasks=12, estimate_s=20.0)) for i in range(1, 4)]
+    w.run(6.0)
+    w.kill("n0", back_after=6.0)
+    states = [w.cancel(j) for j in jobs[:2]]
+    assert states == ["cancelled", "cancelled"]
+    w.run(60.0)
+    assert [w.state_of(j) for j in jobs[:2]] == ["cancelled", "cancelled"]
+    left = [t for m in w.workers.values() if not m.deleted for t in m.live.values()]
+    assert not [t for t in left if t.job in jobs[:2]]
+    assert w.finish(jobs[2], 200.0)
+    assert not w.broken
+
+
+def test_quota_holds_across_handovers() -> None:
+    w = warm(8)
+    jobs = [w.submit(spec(i, team="blue", tasks=20, estimate_s=8.0)) for i in range(1, 3)]
+    for n in range(6):
+        w.run(7.0)
+        w.kill(w.node_names[n % 3], back_after=2.0)
+    assert all(w.finish(j, 400.0) for j in jobs)
+    assert not w.broken
+
+
+def test_a_gang_larger_than_a_parts_share_gets_the_room_of_the_others() -> None:
+    w = warm(9)
+    # 12 CPUs is the whole limit of the team, of which each part has a third.
+    job = w.submit(spec(1, kind="gang", team="blue", tasks=12, estimate_s=5.0))
+    assert w.finish(job, 120.0)
+    at = [t for t, *_ in w.starts]
+    assert len(at) == 12 and max(at) - min(at) < 3.0
+    assert not w.broken
+
+
+def test_together_and_scatter() -> None:
+    w = warm(10)
+    a = w.submit(spec(1, tasks=8, one_zone=True))
+    b = w.submit(spec(2, tasks=5, spread=True, kind="gang", zone=None))
+    c = w.submit(spec(3, tasks=3, zone="b"))
+    assert w.finish(a, 120.0) and w.finish(c, 120.0)
+    assert not w.broken
+    assert w.state_of(b) in ("queued", "running", "done")
+
+
+def test_done_only_after_the_last_task() -> None:
+    w = warm(11)
+    job = w.submit(spec(1, tasks=7, estimate_s=10.0))
+    seen = set()
+    for _ in range(300):
+        seen.add(w.state_of(job))
+        if "done" in seen:
+            break
+        w.run(0.1)
+    assert "done" in seen
+    assert not w.broken
+
+
+def test_ambiguous_commits_are_settled() -> None:
+    w = warm(12)
+    w.lose_answers = 0.2
+    w.late_commits = 0.05
+    jobs = [w.submit(spec(i, tasks=4, estimate_s=4.0)) for i in range(1, 6)]
+    w.cancel(jobs[0])
+    assert all(w.finish(j, 300.0) for j in jobs[1:])
+    assert w.state_of(jobs[0]) in ("cancelled", "")
+    assert not w.broken
+
+
+def test_repeats_of_a_submission_make_one_job() -> None:
+    w = warm(13)
+    s = spec(1, tasks=3)
+    w.specs[s.id] = s
+    outs = [w.ask(x, "submit", s) for x in w.node_names for _ in range(2)]
+    w.run(2.0)
+    assert all(o and o[0].status in (200, 201) for o in outs)
+    assert sum(o[0].status == 201 for o in outs) == 1
+    assert w.finish(s.id, 60.0)
+    assert len({(j, i) for _, j, i, _, _ in w.starts}) == len(w.starts) == 3
+    again = w.ask("n1", "submit", s)
+    w.run(2.0)
+    assert again[0].status == 200 and again[0].state == "done"
+
+
+def test_unknown_and_impossible_jobs() -> None:
+    w = warm(14)
+    out = w.ask("n0", "query", "job-999999")
+    w.run(2.0)
+    assert out[0].status == 404
+    for s in (
+        spec(1, team="nobody"),
+        spec(2, cpus=9.0),
+        spec(3, kind="gang", tasks=25),
+        spec(4, types=["t4"], cpus=5.0),
+        spec(5, zone="nowhere"),
+    ):
+        w.specs[s.id] = s
+        outs = [w.ask(x, "submit", s) for x in w.node_names]
+        w.run(2.0)
+        assert [o[0].status for o in outs] == [422, 422, 422]
+
+
+def test_state_outage_refuses_at_once_and_loses_nothing() -> None:
+    w = warm(15)
+    jobs = [w.submit(spec(i, tasks=6, estimate_s=8.0)) for i in range(1, 4)]
+    w.run(8.0)
+    w.state.outage(True, w.now)
+    w.run(6.0)
+    s = spec(50)
+    w.specs[s.id] = s
+    out = w.ask("n0", "submit", s)
+    w.run(3.0)
+    assert out[0].status == 503 and out[0].retry_after >= 1
+    w.run(12.0)
+    w.state.outage(False, w.now)
+    assert all(w.finish(j, 200.0) for j in jobs)
+    assert not w.broken
+
+
+def test_cloud_outage_at_the_start_does_not_block_acceptance() -> None:
+    w = warm(16)
+    w.run(3.0)
+    w.cloud_down = True
+    for x in w.node_names:
+        w.kill(x, back_after=1.0)
+    w.run(5.0)
+    job = w.submit(spec(1))
+    w.cloud_down = False
+    assert w.finish(job, 120.0)
+    assert not w.broken
+
+
+def test_hanging_and_failing_machines_are_routed_around() -> None:
+    w = warm(17)
+    jobs = [w.submit(spec(i, tasks=8, estimate_s=6.0)) for i in range(1, 4)]
+    w.run(10.0)
+    up = [m for m in w.workers.values() if m.up and not m.deleted]
+    up[0].hung = True
+    up[1].fails = True
+    assert all(w.finish(j, 300.0) for j in jobs)
+    w.run(20.0)
+    assert up[0].deleted
+    assert not w.broken
+
+
+def test_a_job_that_fails_everywhere_does_not_block_others() -> None:
+    w = warm(18)
+    bad = w.submit(spec(1, cls="bad", tasks=4))
+    good = w.submit(spec(2, tasks=4))
+    assert w.finish(good, 120.0)
+    assert w.cancel(bad) == "cancelled"
+    assert not w.broken
+
+
+def test_a_rental_in_doubt_is_finished_by_the_next_owner() -> None:
+    w = warm(19)
+    w.cloud_down = True
+    w.submit(spec(1, tasks=6, estimate_s=30.0))
+    # Kill every node after the intents were written and before the cloud answered.
+    assert w.until(lambda: any("/h/" in k for k in w.state.data), 10.0)
+    for x in w.node_names:
+        w.kill(x, back_after=1.0)
+    w.cloud_down = False
+    assert w.finish("job-000001", 200.0)
+    w.run(120.0)
+    assert not [m.name for m in w.workers.values() if m.up and not m.deleted]
+    assert not [k for k in w.state.data if "/h/" in k]
+    assert not w.broken
+
+
+@pytest.mark.parametrize("seed", range(100, 108))
+def test_random_faults_break_no_rule(seed: int) -> None:
+    w = warm(seed)
+    rng = w.rng
+    jobs: list[str] = []
+    w.lose_answers, w.late_commits = 0.02, 0.02
+    for n in range(1, 13):
+        kind = rng.choice(["array", "array", "gang"])
+        s = spec(
+            n,
+            kind=kind,
+            team=rng.choice(["red", "blue"]),
+            tasks=rng.randint(1, 6 if kind == "gang" else 14),
+            estimate_s=rng.uniform(2.0, 15.0),
+            spot=rng.random() < 0.5,
+            one_zone=rng.random() < 0.2,
+        )
+        jobs.append(w.submit(s))
+        fault = rng.randrange(9)
+        if fault == 0:
+            w.kill(rng.choice(w.node_names), back_after=rng.choice([0.2, 3.0, 8.0]))
+        elif fault == 1:
+            w.isolate(rng.choice(w.node_names), hold=rng.random() < 0.5)
+        elif fault == 2:
+            w.heal()
+        elif fault == 3:
+            w.state.outage(True, w.now)
+        elif fault == 4:
+            for x in w.node_names:
+                w.kill(x, back_after=rng.uniform(0.2, 6.0))
+        elif fault == 5:
+            up = [m for m in w.workers.values() if m.up and not m.deleted]
+            if up:
+                m = rng.choice(up)
+                m.hung = True
+                w.at(rng.uniform(2.0, 30.0), lambda m=m: setattr(m, "hung", False))
+        elif fault == 6 and jobs:
+            job = rng.choice(jobs)
+            w.cancel_asked.add(job)
+            w.ask(rng.choice(w.node_names), "cancel", job)
+        elif fault == 7:
+            w.isolate(rng.choice(w.node_names), "state")
+        w.run(rng.uniform(0.5, 6.0))
+        if fault == 3 or w.state.down:
+            w.run(rng.uniform(1.0, 12.0))
+            w.state.outage(False, w.now)
+        if rng.random() < 0.3:
+            w.heal()
+        assert not w.broken
+    w.heal()
+    w.state.outage(False, w.now)
+    w.lose_answers = w.late_commits = 0.0
+    for job in jobs:
+        if job in w.cancel_asked:
+            continue
+        assert w.finish(job, 600.0), job
+    w.run(40.0)
+    assert not w.broken
