--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -305,9 +305,12 @@
     def _done(self, s: Slice, index: int, now: float) -> None:
         if (s.done >> index) & 1 or not s.holds(index) or s.spec.kind == SERVICE:
             return
-        s.done |= 1 << index
-        s.done_count += 1
-        s.pending.discard(index)
+        # The members of a gang complete together: when one is done, all are.
+        for i in Ranges(s.ranges) if s.spec.kind == GANG else (index,):
+            if not (s.done >> i) & 1:
+                s.done |= 1 << i
+                s.done_count += 1
+            s.pending.discard(i)
         if s.dirty_since is None:
             s.dirty_since = now
 
@@ -510,10 +513,6 @@
                     self.finished.append((s.spec, now - p.run_since))
                 m.errors = 0
                 self._done(s, p.index, now)
-                if s.spec.kind == GANG:
-                    # The members of a gang complete together: when one is done, all are.
-                    for i in list(s.placed):
-                        self._done(s, i, now)
         elif t.why == "error":
             m.errors += 1
             m.not_before = now + min(30.0, 2.0 * m.errors)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -107,6 +107,7 @@
         self.state = "fetching"
         self.why = ""
         self.left = 0.0
+        self.waited = 0.0
 
 
 class Worker:
@@ -272,22 +273,26 @@
             if t.state == "fetching":
                 t.state = "waiting" if s.kind == GANG else "running"
             elif t.state == "waiting":
-                members = [
-                    x
-                    for m in w.workers.values()
-                    if not m.deleted
-                    for x in m.tasks.values()
-                    if x.job == t.job
-                    and x.attempt == t.attempt
-                    and x.state in ("waiting", "running")
-                ]
-                if len(members) == s.tasks:
-                    t.state = "running"
+                t.waited += 0.25
+                gang = w.gang(t)
+                if len(gang) == s.tasks and all(x.state == "waiting" for _, x in gang):
+                    for _, x in gang:
+                        x.state = "running"
+                elif t.waited > w.settings[0].cluster.workers.gang_wait_s:
+                    t.state, t.why = "exited", "alone"
             elif t.state == "running":
+                gang = w.gang(t) if s.kind == GANG else []
+                if s.kind == GANG and (len(gang) < s.tasks or any(m.hung for m, _ in gang)):
+                    t.waited += 0.25
+                    if t.waited > w.settings[0].cluster.workers.gang_peer_s:
+                        t.state, t.why = "exited", "peers"
+                    continue
+                t.waited = 0.0
                 t.left -= 0.25
-                if t.left <= 0 and (s.kind != GANG or w.gang_ready(t)):
-                    t.state, t.why = "exited", "done"
-                    w.results.add((t.job, t.index))
+                if t.left <= 0:
+                    for x in [x for _, x in gang] or [t]:
+                        x.state, x.why = "exited", "done"
+                        w.results.add((x.job, x.index))
 
 
 class World:
@@ -669,8 +674,15 @@
     def run_s(self, s: JobSpec) -> float:
         return s.estimate_s if s.kind == GANG else s.estimate_s * self.rng.uniform(0.5, 1.5)
 
-    def gang_ready(self, t: FakeTask) -> bool:
-        return True
+    def gang(self, t: FakeTask) -> list[tuple[Worker, FakeTask]]:
+        """The members of a task's gang that are there, of the same attempt."""
+        return [
+            (m, x)
+            for m in self.workers.values()
+            if not m.deleted
+            for x in m.tasks.values()
+            if x.job == t.job and x.attempt == t.attempt and x.state in ("waiting", "running")
+        ]
 
     def check_start(self, m: Worker, t: FakeTask) -> None:
         """The rules that concern a start."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -288,6 +288,7 @@
         if fault == 0:
             w.kill(rng.choice(w.node_names), back_after=rng.choice([0.2, 3.0, 8.0]))
         elif fault == 1:
+            w.heal()
             w.isolate(rng.choice(w.node_names), hold=rng.random() < 0.5)
         elif fault == 2:
             w.heal()
@@ -307,6 +308,7 @@
             w.cancel_asked.add(job)
             w.ask(rng.choice(w.node_names), "cancel", job)
         elif fault == 7:
+            w.heal()
             w.isolate(rng.choice(w.node_names), "state")
         w.run(rng.uniform(0.5, 6.0))
         if fault == 3 or w.state.down:
