--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -17,6 +17,7 @@
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
+from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, MachineType, Order, Report
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.placement import place_array, place_gang
@@ -61,9 +62,11 @@
 
     part: int
     term: int
-    free: int
-    total: int
+    #: free room by machine: type, zone, spot, cpus, gpus, memory
+    rooms: list[tuple[str, str, bool, int, int, int]]
     backlog: int
+    #: room left under each team's share
+    shares: dict[str, list[int]]
     #: team -> cpus and gpus that waiting tasks lack in this part's share
     wants: dict[str, list[int]]
     #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
@@ -106,7 +109,9 @@
         self.authority = Authority(self)
         self.jobs = Jobs(self)
         self.fleet = Fleet(self)
+        self.migrations = Migrations(self)
         self._next_slow = now
+        self._next_move = now
         self._dirty_place = True
 
     # --- plumbing --------------------------------------------------------------------------
@@ -390,9 +395,14 @@
                 self.commands.append(Command(m.addr, p.term, m.session, orders))
             self.fleet.guard_cancels(p)
         self.jobs.tick()
+        self.migrations.tick()
+        if now >= self._next_move:
+            self._next_move = now + 0.4
+            self._tell(acting)
+            for p in acting:
+                self.migrations.look(p)
         if now >= self._next_slow:
             self._next_slow = now + 1.0
-            self._tell(acting)
             self.jobs.rebalance(acting)
 
     def _tell(self, acting: list[Part]) -> None:
@@ -406,11 +416,12 @@
 
     def measure(self, p: Part) -> Gossip:
         """What the others should know about a part."""
-        free = total = backlog = 0
-        for m in p.machines.values():
-            if m.type is not None and not (m.draining or m.condemned or m.releasing or m.silent):
-                free += m.free[0]
-                total += m.type.size[0]
+        backlog = 0
+        rooms = [
+            (m.type_name, m.zone, m.spot, m.free[0], m.free[1], m.free[2])
+            for m in p.machines.values()
+            if m.free[0] > 0 and m.usable(self.now)
+        ]
         wants: dict[str, list[int]] = {}
         stuck: dict[str, list[int]] = {}
         for s in p.slices.values():
@@ -430,7 +441,11 @@
             for i in range(2):
                 w[i] = max(0, w[i] - max(0, share[i] - used[i]))
         wants = {t: w for t, w in wants.items() if w[0] or w[1]}
-        return Gossip(p.number, p.term, free, total, backlog, wants, stuck)
+        shares = {}
+        for team in self.teams:
+            used, share = p.usage(team), self.share(p, team)
+            shares[team] = [max(0, share[i] - used[i]) for i in range(2)]
+        return Gossip(p.number, p.term, rooms, backlog, shares, wants, stuck)
 
     # --- peers -----------------------------------------------------------------------------
 
@@ -461,6 +476,12 @@
                 answer = yield from self.jobs.cancel_here(str(args[0]))
             elif tag == "apply":
                 answer = self.jobs.apply_cancel(str(args[0]), int(args[1]))
+            elif tag in ("lock", "update", "release"):
+                answer = yield from self.migrations.answer(tag, args)
+            elif tag == "arrive":
+                answer = yield from self.jobs.arrive(str(args[0]), int(args[1]))
+            elif tag == "entries":
+                answer = self.jobs.entries(str(args[0]), list(args[2]))
         except (IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag}: {e}")
         self.peer_replies.append((request, answer))
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -28,6 +28,7 @@
 from marblestair.core.manager import ServerManager
 from marblestair.core.model import GANG, JobRecord, JobSpec
 from marblestair.core.part import Part
+from marblestair.core.placement import gang_fits
 from marblestair.core.shares import refusal
 
 if TYPE_CHECKING:
@@ -66,6 +67,8 @@
         #: part -> term under which its owner has applied the cancel
         self.applied: dict[int, int] = {}
         self.editing = False
+        #: a change of the slices is being committed
+        self.moving = False
         #: when the cancel was first seen committed
         self.cancel_seen: float | None = None
         #: a change of the record was sent and its fate is unknown: nothing is told meanwhile
@@ -169,7 +172,7 @@
             t, g = c.gossip.get(i, (-1e9, None))
             if i != home.number and (g is None or c.now - t > 4.0 or g.term != p.term):
                 continue
-            load[i] = (g.backlog - g.free) if g is not None else 0.0
+            load[i] = (g.backlog - sum(r[3] for r in g.rooms)) if g is not None else 0.0
         unit = spec.tasks if spec.kind == GANG else 1
         need = spec.need
         able = [
@@ -180,6 +183,11 @@
         ] or [home.number]
         whole = spec.kind == GANG or spec.one_zone or spec.spread
         if whole or spec.tasks < 2 * len(able):
+            n = spec.tasks if whole else 1
+            fitting = [
+                i for i in able if i in c.gossip and gang_fits(spec, need, c.gossip[i][1].rooms, n)
+            ]
+            able = fitting or able
             best = min(able, key=lambda i: (load[i], i != home.number, i))
             return {str(best): [[0, spec.tasks]]}
         out: dict[str, list[list[int]]] = {}
@@ -301,6 +309,10 @@
             return (f.value, None, None)
         return UNKNOWN if f.status == 404 else None
 
+    def refresh(self, job: str) -> Step:
+        """Read a job's record afresh; whether that succeeded."""
+        return (yield from self._fresh(job)) is not None
+
     # --- the manager -----------------------------------------------------------------------
 
     def parts_changed(self) -> None:
@@ -366,6 +378,10 @@
         return True
 
     def _next(self, mj: Managed, rec: JobRecord) -> str | None:
+        if mj.doubt and not mj.moving:
+            # A change is in doubt that nobody follows up: rewrite the record, so that it is
+            # either found applied or can never be.
+            return "touch"
         if rec.cancelled:
             if self._unapplied(mj, rec):
                 return "apply"
@@ -397,7 +413,7 @@
                 action = self._next(mj, rec) if rec is not None else None
                 if rec is None or action is None:
                     return
-                if mj.locks.request_exclusive(holder) is None:
+                if mj.moving or mj.locks.request_exclusive(holder) is None:
                     yield Sleep(0.05)
                     continue
                 if action == "apply":
@@ -406,7 +422,9 @@
                     continue
                 key = keys.JOBS + mj.job
                 guards = [(key, c.view.version(key)), c.fence(mj.part)]
-                if action == "cancel":
+                if action == "touch":
+                    commit = Commit(guards, [Put(key, rec)], [], ACCEPT)
+                elif action == "cancel":
                     new = msgspec.structs.replace(
                         rec, changes=[*rec.changes, ["cancel", len(rec.changes) + 1]]
                     )
@@ -470,6 +488,21 @@
             out.append([p.number, p.term])
         return out
 
+    def arrive(self, job: str, version: int) -> Step:
+        """A slice was moved here: the last change entry known of its job (Algorithm 4)."""
+        c = self.c
+        if c.view.version(keys.JOBS + job) < version:
+            yield from self._fresh(job)
+        rec = c.view.jobs.get(job)
+        return len(rec.changes) if rec is not None else 0
+
+    def entries(self, job: str, changes: list[Any]) -> bool:
+        """Later change entries of a job, sent by the source of a migration."""
+        if any(e[0] == "cancel" for e in changes):
+            for p in self.c.acting():
+                p.cancel(job, self.c.now)
+        return True
+
     def cancel_here(self, job: str) -> Step:
         """Cancel a job managed here: 'cancelled', 'done', or None if it takes too long."""
         c = self.c
@@ -548,7 +581,7 @@
         for p in acting:
             if p.suspects:
                 continue
-            mine = c.gossip[p.number][1]
+            mine = c.measure(p)
             for i, (t, g) in sorted(c.gossip.items()):
                 if i == p.number or c.now - t > 3.0 or g.term != c.view.split.parts[i].term:
                     continue
--- /dev/null
+++ b/marblestair/core/migrate.py
@@ -0,0 +1,307 @@
+"""Migration of unstarted slices between parts: the paper's Algorithms 1, 2 and 4.
+
+The source drops the task numbers first, then asks the job's ServerManager for the shared and the
+short-term lock in one call, reports the change of ActiveServers (``stay`` or ``log_off``), tells
+the target, and releases the shared lock. The manager commits the change of the record before it
+answers, so the target starts nothing that the record does not give it. Without an answer the task
+numbers belong to nobody here until the record has been read back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.calls import FINAL, Commit, PeerCall, Put, Sleep, StateResult
+from marblestair.core.flow import Flow, Step
+from marblestair.core.manager import LOG_OFF, STAY
+from marblestair.core.model import GANG
+from marblestair.core.part import Part, Slice
+from marblestair.core.placement import gang_fits, rooms_for
+from marblestair.core.ranges import Ranges
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller, Gossip
+
+#: a migration's locks are given up when its source has not come back for this share of a lease
+LOCK_RATIO = 0.5
+#: migrations under way at once, per node
+MOST = 4
+
+
+class Migrations:
+    """Both sides of migrations on one node."""
+
+    def __init__(self, c: Controller) -> None:
+        self.c = c
+        self.under_way = 0
+        self.done = 0
+        self._count = 0
+        #: manager side: (job, holder) -> when the lock was given
+        self._held: dict[tuple[str, Hashable], float] = {}
+
+    # --- source ----------------------------------------------------------------------------
+
+    def start(self, part: Part, s: Slice, ranges: list[list[int]], target: int) -> bool:
+        """Begin to migrate pending tasks of a slice, unless too much is under way."""
+        if self.under_way >= MOST or s.leaving or s.cancelled or s.suspect:
+            return False
+        for a, b in ranges:
+            for i in range(a, b):
+                if not s.pending.discard(i):
+                    raise ValueError("only pending tasks migrate")
+        s.leaving = [list(r) for r in ranges]
+        self.under_way += 1
+        self._count += 1
+        holder = f"{self.c.node}-{self.c.incarnation}-{self._count}"
+        self.c.spawn(self._migrate(part, s, target, holder))
+        return True
+
+    def look(self, part: Part) -> None:
+        """Find room elsewhere for what cannot start here."""
+        c = self.c
+        split = c.view.split
+        if split is None or part.suspects:
+            return
+        others = [
+            g
+            for i, (t, g) in sorted(c.gossip.items())
+            if i != part.number
+            and c.now - t < 1.5
+            and i < len(split.parts)
+            and g.term == split.parts[i].term
+        ]
+        if not others:
+            return
+        for s in c.ordered(part):
+            if self.under_way >= MOST:
+                return
+            spec, need = s.spec, s.need
+            whole = spec.kind == GANG or spec.one_zone or spec.spread
+            if s.suspect or s.leaving or s.stopping_gang or c.now < s.not_before:
+                continue
+            if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
+                continue
+            best, most = None, 0
+            for g in others:
+                room = g.shares.get(spec.team, [0, 0])
+                n = len(s.pending)
+                for have, x in zip(room, need, strict=False):
+                    if x > 0:
+                        n = min(n, have // x)
+                if whole:
+                    if n < len(s.pending) or not gang_fits(spec, need, g.rooms, n):
+                        continue
+                else:
+                    n = min(n, sum(rooms_for(spec, need, g.rooms).values()))
+                if n > most:
+                    best, most = g, n
+            if best is None:
+                continue
+            ranges = s.pending.tail(most)
+            if self.start(part, s, ranges, best.part):
+                self._reserve(best, s, most)
+
+    @staticmethod
+    def _reserve(g: Gossip, s: Slice, n: int) -> None:
+        """What is on its way to a part is not free there any more."""
+        share = g.shares[s.spec.team]
+        for i in range(2):
+            share[i] -= n * s.need[i]
+        for k, room in enumerate(g.rooms):
+            if n <= 0:
+                return
+            fits = sum(rooms_for(s.spec, s.need, [room]).values())
+            take = min(n, fits)
+            if take > 0:
+                n -= take
+                free = [f - take * x for f, x in zip(room[3:], s.need, strict=True)]
+                g.rooms[k] = (room[0], room[1], room[2], free[0], free[1], free[2])
+
+    def _ask(self, job: str, tag: str, args: list[Any]) -> Step:
+        """Ask the job's ServerManager, wherever it is."""
+        c = self.c
+        rec = c.view.jobs.get(job)
+        owner = c.owner(rec.manager) if rec is not None else None
+        if owner == c.node:
+            return (yield from self.answer(tag, args))
+        if owner is None:
+            return None
+        return (yield PeerCall(owner, tag, args, 1.5))
+
+    def _migrate(self, part: Part, s: Slice, target: int, holder: str) -> Flow:
+        job = s.spec.id
+        try:
+            locked = False
+            for _ in range(8):
+                locked = (yield from self._ask(job, "lock", [job, holder])) is True
+                if locked or s.cancelled or part.slices.get(job) is not s:
+                    break
+                yield Sleep(0.1)
+            if not locked:
+                self._restore(part, s)
+                yield from self._ask(job, "release", [job, holder])
+                return
+            left = Ranges(s.ranges)
+            for a, b in s.leaving:
+                for i in range(a, b):
+                    left.discard(i)
+            option = STAY if len(left) else LOG_OFF
+            args = [job, holder, part.number, part.term, option, target, s.leaving]
+            got = yield from self._ask(job, "update", args)
+            if got is False:
+                self._restore(part, s)
+                yield from self._ask(job, "release", [job, holder])
+                return
+            if isinstance(got, list):
+                self.done += 1
+                yield from self._hand_on(job, target, int(got[0]))
+            yield from self._settle(part, s, holder)
+        finally:
+            self.under_way -= 1
+
+    def _hand_on(self, job: str, target: int, version: int) -> Step:
+        """Tell the target. It names the last change entry that it knows of the job, and gets
+        only later ones (Algorithm 4)."""
+        c = self.c
+        owner = c.owner(target)
+        if owner is None or owner == c.node:
+            return
+        known = yield PeerCall(owner, "arrive", [job, version], 0.5)
+        rec = c.view.jobs.get(job)
+        if isinstance(known, int) and rec is not None and len(rec.changes) > known:
+            yield PeerCall(owner, "entries", [job, known, rec.changes[known:]], 0.5)
+
+    def _settle(self, part: Part, s: Slice, holder: str) -> Step:
+        """Wait until the record shows what became of the task numbers that were dropped.
+
+        They may be pending here again only once the manager has given the holder's locks up, so
+        that an update that is still on its way will be refused, and only after the record has
+        been read afresh."""
+        c = self.c
+        job = s.spec.id
+        released = False
+        while True:
+            released = (yield from self._ask(job, "release", [job, holder])) is True
+            here = c.parts.get(part.number) is part and part.slices.get(job) is s
+            if not here or not s.leaving:
+                if released or not here:
+                    return
+            elif released and (yield from c.jobs.refresh(job)):
+                self._restore(part, s)
+                return
+            if job not in c.view.jobs:
+                return
+            yield Sleep(0.2)
+
+    def _restore(self, part: Part, s: Slice) -> None:
+        """The task numbers that were dropped and are still this part's are pending again."""
+        leaving, s.leaving = s.leaving, []
+        if s.cancelled or part.slices.get(s.spec.id) is not s:
+            return
+        for a, b in leaving:
+            for i in range(a, b):
+                if s.holds(i) and i not in s.placed and not (s.done >> i) & 1:
+                    s.pending.add(i, i + 1)
+
+    # --- manager ---------------------------------------------------------------------------
+
+    def answer(self, tag: str, args: list[Any]) -> Step:
+        """A question to the ServerManager: lock, update or release."""
+        c = self.c
+        job = str(args[0])
+        mj = c.jobs.managed.get(job)
+        rec = c.view.jobs.get(job)
+        if mj is None or rec is None or not c.acts(mj.part):
+            return None
+        holder = str(args[1])
+        if tag == "lock":
+            if rec.cancelled or mj.want_cancel or not mj.locks.request_migration(holder):
+                return False
+            self._held[(job, holder)] = c.now
+            return True
+        if tag == "release":
+            if mj.moving or mj.doubt:
+                return False
+            self._held.pop((job, holder), None)
+            mj.locks.release_shared(holder)
+            return True
+        return (yield from self._update(job, holder, args))
+
+    def _update(self, job: str, holder: str, args: list[Any]) -> Step:
+        """Algorithm 2, made durable: False when nothing was and will be changed."""
+        c = self.c
+        mj = c.jobs.managed[job]
+        source, term, option, target = int(args[2]), int(args[3]), str(args[4]), int(args[5])
+        ranges = [[int(a), int(b)] for a, b in args[6]]
+        split = c.view.split
+        rec = c.view.jobs[job]
+        if mj.locks.short != holder or split is None or split.parts[source].term != term:
+            return False
+        held = Ranges(rec.slices.get(str(source), []))
+        for a, b in ranges:
+            for i in range(a, b):
+                if not held.discard(i):
+                    return False
+        given = Ranges(rec.slices.get(str(target), []))
+        for a, b in ranges:
+            given.add(a, b)
+        slices = {p: r for p, r in rec.slices.items() if int(p) != source}
+        slices[str(target)] = [list(r) for r in given.items]
+        if held.items:
+            slices[str(source)] = [list(r) for r in held.items]
+        new = msgspec.structs.replace(rec, slices=slices)
+        key = keys.JOBS + job
+        version = c.view.version(key)
+        # The source's fence too: were the part taken over meanwhile, its new owner may have
+        # started what an update still on its way would give to another part.
+        guards = [(key, version), c.fence(mj.part)]
+        if source != mj.part:
+            guards.append(c.fence(source))
+        mj.moving = True
+        result: Any = False
+        tries = 0
+        try:
+            while c.jobs.managed.get(job) is mj and c.acts(mj.part):
+                commit = Commit(guards, [Put(key, new)], [], FINAL)
+                tries += 1
+                r: StateResult = yield commit
+                if r.status == 200:
+                    mj.doubt = False
+                    c.view.committed(commit, r.rev)
+                    mj.locks.update(holder, source, option, target)
+                    mj.reports.pop(source, None)
+                    mj.reports.pop(target, None)
+                    c.sync()
+                    return [r.rev]
+                if r.status == 409:
+                    if (yield from c.jobs.refresh(job)):
+                        mj.doubt = False
+                        now = c.view.jobs.get(job)
+                        if now is not None and now.slices == slices:
+                            mj.locks.update(holder, source, option, target)
+                            return [c.view.version(key)]
+                        return False
+                elif r.status == 0:
+                    mj.doubt = True
+                    result = None
+                elif not mj.doubt and tries > 3:
+                    return False
+                yield Sleep(0.1 + 0.2 * c.rng.random())
+            return result
+        finally:
+            mj.moving = False
+
+    def tick(self) -> None:
+        """Give up the locks of sources that have not come back."""
+        c = self.c
+        limit = LOCK_RATIO * c.settings.cluster.workers.lease_s
+        for (job, holder), since in list(self._held.items()):
+            mj = c.jobs.managed.get(job)
+            if mj is None or (c.now - since > limit and not mj.moving):
+                del self._held[(job, holder)]
+                if mj is not None:
+                    mj.locks.release_shared(holder)
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -185,6 +185,8 @@
         self.version = 0
         self.stopping_gang = False
         self.waiting_since = 0.0
+        #: task numbers dropped here for a migration whose commit is not known yet
+        self.leaving: list[list[int]] = []
 
     @property
     def running(self) -> int:
@@ -332,10 +334,13 @@
             s = self.slices[job] = Slice(rec.spec)
             s.waiting_since = now
         if ranges != s.ranges:
+            # Whatever a migration had dropped is settled by a record with other slices.
+            away, s.leaving = Ranges(s.leaving), []
             old = Ranges(s.ranges)
+            mine_before = len(old)
             s.ranges = [list(r) for r in ranges]
             s.size = sum(b - a for a, b in s.ranges)
-            if len(old) == 0:
+            if mine_before == 0:
                 for a, b in s.ranges:
                     s.pending.add(a, b)
             else:
@@ -344,8 +349,13 @@
                     if i not in now_held:
                         s.pending.discard(i)
                 for i in now_held:
-                    if i not in old and not (s.done >> i) & 1 and i not in s.placed:
+                    new = i not in old or i in away
+                    if new and not (s.done >> i) & 1 and i not in s.placed:
                         s.pending.add(i, i + 1)
+                s.done_count = sum(1 for i in now_held if (s.done >> i) & 1)
+                if not s.ranges and not s.placed and not s.cancelled:
+                    del self.slices[job]
+                    return
         s.version = version
         if rec.cancelled:
             self.cancel(job, now)
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -133,6 +133,33 @@
     return None
 
 
+#: a machine's free room as told between parts: type, zone, spot, cpus, gpus, memory
+Room = tuple[str, str, bool, int, int, int]
+
+
+def rooms_for(spec: JobSpec, need: tuple[int, int, int], rooms: list[Room]) -> Counter[str]:
+    """How many of a job's tasks fit into told rooms, by zone."""
+    out: Counter[str] = Counter()
+    for type_name, zone, spot, *free in rooms:
+        if (
+            (spec.types is None or type_name in spec.types)
+            and (spec.zone is None or zone == spec.zone)
+            and (spec.spot or not spot)
+        ):
+            n = min((f // x for f, x in zip(free, need, strict=True) if x > 0), default=0)
+            out[zone] += max(0, n)
+    return out
+
+
+def gang_fits(spec: JobSpec, need: tuple[int, int, int], rooms: list[Room], n: int) -> bool:
+    """Whether n tasks that start together fit into told rooms."""
+    by_zone = rooms_for(spec, need, rooms)
+    if spec.one_zone:
+        return any(x >= n for x in by_zone.values())
+    limit = zone_limit(spec)
+    return sum(min(x, limit) for x in by_zone.values()) >= n
+
+
 def place_gang(part: Part, s: Slice, share: tuple[int, int], now: float) -> int:
     """Launch a whole gang or nothing."""
     n = s.size - s.done_count
