Promises: all nodes that talk act on through an outage of the state service

A node that is refused alone gets no promise and is relieved; a restarted node takes nothing over before the longest promise has passed. Stories for each.

--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -17,6 +17,7 @@
     LeaseGrant,
     LeaseRenew,
     ListKeys,
+    PeerCall,
     Put,
     Sleep,
     StateResult,
@@ -56,17 +57,26 @@
         self.seen_since: dict[str, tuple[int, float]] = {}
         self._last_given = -1e9
         self._pause = 1.0
+        #: promises given: node -> until when its parts are not taken
+        self.promised: dict[str, float] = {}
+        #: promises held from all the others: until when they stand in for the lease
+        self.trusted_until = -1e9
+        #: when a renewal last succeeded, and whether the latest one did
+        self._renewed = -1e9
+        self._failing = False
+        #: version of the split at which a takeover was sent whose fate is unknown
+        self._take_doubt = -1
 
     # --- what holds ------------------------------------------------------------------------
 
     def holds(self, now: float) -> bool:
         """Whether this node's lease surely holds and its view is recent enough to act on."""
         c = self.c
-        return (
-            now < self.until
-            and c.view.rev >= self.key_rev
-            and now - c.view.fresh_at < c.settings.cluster.workers.lease_s
-        )
+        if c.view.rev < self.key_rev:
+            return False
+        if now < self.trusted_until:
+            return True
+        return now < self.until and now - c.view.fresh_at < c.settings.cluster.workers.lease_s
 
     def acts(self, part: Part | None, now: float) -> bool:
         """Whether this node may act for a part."""
@@ -80,6 +90,7 @@
         self.booted = True
         self.c.runner.keep(self._follow)
         self.c.runner.keep(self._keep_lease)
+        self.c.runner.keep(self._keep_promises)
 
     def _load(self) -> Step:
         c = self.c
@@ -132,6 +143,7 @@
                 if r.status == 200:
                     put = Commit([], [Put(key, c.incarnation, r.lease)], lane=LEASE)
                     done: StateResult = yield put
+                    r = done if done.status != 200 else r
                     if done.status == 200:
                         self.lease = r.lease
                         # Authority counts only once the view includes this commit: while the
@@ -147,10 +159,60 @@
                 elif r.status == 404:
                     self.lease = None
                     continue
+            self._failing = r.status != 200
             pause = self.ttl / 4 if r.status == 200 else self.ttl / 12
             yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
 
+    # --- promises --------------------------------------------------------------------------
+
+    def _keep_promises(self) -> Flow:
+        """While the lease cannot be renewed, ask all the others not to take this node's parts.
+
+        Only promises of every other node let this one act beyond its lease, and only without a
+        gap: a node that can still take over gives none, and one that does not answer gives none.
+        """
+        c = self.c
+        while True:
+            yield Sleep(self.ttl / 8)
+            now = c.now
+            failing = self._failing and now - self._renewed > 0.3 * self.ttl
+            if not failing or not c.parts or not self.holds(now):
+                continue
+            if self.trusted_until - now > 0.6 * self.ttl or not c.settings.others:
+                continue
+            for p in c.settings.others:
+                got = yield PeerCall(p.node, "promise", [c.node, c.incarnation], 0.5)
+                if got is not True:
+                    break
+            else:
+                if self.holds(c.now):
+                    before = self.trusted_until
+                    until = now + self.ttl * (1 - DRIFT) - 0.05
+                    self.trusted_until = max(before, until)
+                    if before < now:
+                        c.log("info", "the state service is out of reach: acting on promises")
+
+    def promise(self, node: str, incarnation: int) -> bool:
+        """Promise not to take a node's parts for a lease's time, unless this node might."""
+        c = self.c
+        s = c.view.split
+        now = c.now
+        if s is None or not self.booted or not self._failing or self._taking:
+            return False
+        if self._take_doubt == c.view.version(keys.SPLIT):
+            # A takeover was sent and may yet be carried out.
+            return False
+        if c.view.nodes.get(node) != incarnation:
+            return False
+        self.promised[node] = now + self.ttl
+        return True
+
+    def bound(self, node: str, now: float) -> bool:
+        """Whether a node may be acting on a promise given here, also before a restart."""
+        return now < self.promised.get(node, -1e9) or now - self.c.started < self.ttl
+
     def _extend(self, sent: float) -> None:
+        self._renewed = sent
         self.until = max(self.until, sent + self.ttl * (1 - DRIFT) - 0.05)
 
     # --- ownership -------------------------------------------------------------------------
@@ -183,6 +245,8 @@
             if p.owner and c.view.nodes.get(p.owner) == p.incarnation:
                 self._absent.pop(i, None)
                 continue
+            if p.owner and self.bound(p.owner, now):
+                continue
             since = self._absent.setdefault(i, now)
             wait = 0.35 * (len(mine) + len(take)) + 0.15 * c.rng.random()
             if not p.owner:
@@ -222,6 +286,8 @@
             ok = yield from self.commit_split(
                 new, parts, [*guards, (own, c.view.version(own))], c.view.version(keys.SPLIT)
             )
+            if ok is None:
+                self._take_doubt = c.view.version(keys.SPLIT)
             c.log("info", f"took parts {parts}: {ok}")
         self._taking = False
 
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -557,6 +557,8 @@
                 answer = self.jobs.apply_cancel(str(args[0]), int(args[1]))
             elif tag in ("lock", "update", "release"):
                 answer = yield from self.migrations.answer(tag, args)
+            elif tag == "promise":
+                answer = self.authority.promise(str(args[0]), int(args[1]))
             elif tag == "arrive":
                 answer = yield from self.jobs.arrive(str(args[0]), int(args[1]))
             elif tag == "entries":
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -398,9 +398,14 @@
             mj.cancel_seen = c.now
         # A node acts only on a view younger than a worker's lease, so after that long every
         # node that still acts has seen the cancel, even one that this node cannot reach.
-        if c.now - mj.cancel_seen > c.settings.cluster.workers.lease_s * 1.1:
-            return []
-        return [int(p) for p in rec.slices if mj.applied.get(int(p)) != s.parts[int(p)].term]
+        # Unless it acts on a promise given by this one.
+        seen = c.now - mj.cancel_seen > c.settings.cluster.workers.lease_s * 1.1
+        return [
+            int(p)
+            for p in rec.slices
+            if mj.applied.get(int(p)) != s.parts[int(p)].term
+            and not (seen and not c.authority.bound(s.parts[int(p)].owner, c.now))
+        ]
 
     def _edit(self, mj: Managed) -> Flow:
         """Carry a managed job on: finish, cancel (Algorithm 3), bury. One at a time per job."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marblestair.core import keys
 from tests.fakes.world import World, spec
 
 
@@ -14,9 +15,7 @@
 
 
 def owner(w: World, part: int) -> str:
-    core = next(c for c in w.cores.values() if c is not None)
-    assert core.view.split is not None
-    return core.view.split.parts[part].owner
+    return str(w.state.data[keys.SPLIT][0][1][part][0])
 
 
 def test_quiet_run_of_arrays_and_gangs() -> None:
@@ -266,6 +265,83 @@
     assert not w.broken
 
 
+def sessions(w: World) -> list[int]:
+    return [m.session for m in w.workers.values() if m.up and not m.deleted]
+
+
+def test_an_outage_longer_than_a_lease_loses_no_task_while_all_talk() -> None:
+    w = warm(30)
+    job = w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(14.0)
+    w.state.outage(True, w.now)
+    w.run(35.0)
+    assert all(c is not None and c.acting() for c in w.cores.values())
+    w.state.outage(False, w.now)
+    assert w.finish(job, 200.0)
+    assert set(sessions(w)) == {1}
+    assert len(w.starts) == 12
+    assert not w.broken
+
+
+def test_a_node_refused_alone_gets_no_promise_and_is_relieved() -> None:
+    w = warm(31)
+    w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(10.0)
+    w.state.refused_nodes.add("n1")
+    w.run(8.0)
+    core = w.cores["n1"]
+    assert core is not None and not core.acting()
+    assert owner(w, 1) != "n1"
+    w.state.refused_nodes.clear()
+    assert w.finish("job-000001", 300.0)
+    assert set(sessions(w)) == {1}
+    assert not w.broken
+
+
+def test_no_promises_when_a_peer_is_cut_or_restarted_in_the_outage() -> None:
+    for cut in (True, False):
+        w = warm(32)
+        w.submit(spec(1, tasks=6, estimate_s=30.0))
+        w.run(10.0)
+        w.state.outage(True, w.now)
+        if cut:
+            w.isolate("n2", "n0", "n1")
+        else:
+            w.kill("n2", back_after=0.5)
+        w.run(9.0)
+        assert all(c is not None and not c.acting() for c in w.cores.values())
+        w.heal()
+        w.state.outage(False, w.now)
+        assert w.finish("job-000001", 300.0)
+        assert not w.broken
+
+
+def test_a_promise_is_kept_after_the_outage_and_by_a_node_that_restarts() -> None:
+    w = warm(33)
+    w.submit(spec(1, tasks=12, estimate_s=40.0))
+    w.run(10.0)
+    w.state.outage(True, w.now)
+    assert w.until(
+        lambda: all(c is not None and c.authority.trusted_until > c.now for c in w.cores.values()),
+        10.0,
+    )
+    # n0 goes on acting on its promises; the others get the state service back, and one of them
+    # restarts. Nobody may take n0's part while n0 may act.
+    w.state.refused_nodes.add("n0")
+    w.state.outage(False, w.now)
+    w.kill("n1", back_after=0.2)
+    for _ in range(60):
+        w.run(0.2)
+        core = w.cores["n0"]
+        assert core is not None
+        if owner(w, 0) != "n0":
+            assert not core.acts(0)
+    assert owner(w, 0) != "n0"
+    w.state.refused_nodes.clear()
+    assert w.finish("job-000001", 300.0)
+    assert not w.broken
+
+
 @pytest.mark.parametrize("seed", range(100, 108))
 def test_random_faults_break_no_rule(seed: int) -> None:
     w = warm(seed)
