--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -28,6 +28,9 @@
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
+#: weight of the image's fetch where a job is within its team's guarantee
+HURRY = 3.0
+
 
 class Reply(msgspec.Struct, frozen=True):
     """Final answer to a user's request."""
@@ -395,7 +398,15 @@
             if h is not None:
                 share = (share[0] - h[0], share[1] - h[1])
             if s.spec.kind != GANG:
-                place_array(part, s, share, now, self.rng, keep)
+                place_array(
+                    part,
+                    s,
+                    share,
+                    now,
+                    self.rng,
+                    keep,
+                    HURRY if s.spec.id in self.guaranteed else 1.0,
+                )
             elif not place_gang(part, s, share, now) and not s.placed:
                 n = len(s.pending)
                 if h is None:
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -63,6 +64,8 @@
         self.classes: dict[str, tuple[JobSpec, bool]] = {}
         #: usual size of an array job within its guarantee, in cpus
         self.usual = 0.0
+        #: the arrays' need for capacity, averaged: when, and how much
+        self._average: tuple[float, float | None] = (0.0, None)
         self._noted: dict[str, None] = {}
         self._seen: dict[str, float] = {}
         #: money per kind of use, by part, since it was last logged
@@ -275,17 +278,41 @@
                 gang = name in running
                 machines.append(Have(name, kind, known.zone, known.spot, gang, idle_s, age))
         self._note_classes(live)
-        out = plan(loads, machines, c.types, self._refused, self.usual, self.classes, self.tuning)
+        out = plan(
+            loads,
+            machines,
+            c.types,
+            self._refused,
+            self.usual,
+            self.classes,
+            self.tuning,
+            self._smooth,
+        )
         self.reserved = out.reserved
         if c.now - self._logged.setdefault(-1, -1e9) > 10.0:
             self._logged[-1] = c.now
             c.log(
                 "info",
                 f"plan: arrays need {out.target:.0f} cpus of {out.capacity:.0f},"
+                f" run on {sum(x.running * x.spec.cpus for x in loads):.0f}, wait for"
+                f" {sum(x.wide * x.spec.cpus for x in loads):.0f} of"
+                f" {sum(x.pending * x.spec.cpus for x in loads):.0f};"
                 f" {len(out.reserved)} machines for gangs, rent {out.rent}",
             )
         return out
 
+    def _smooth(self, target: float) -> float:
+        now = self.c.now
+        boot = min((t.boot_s for t in self.c.types.values()), default=30.0)
+        then, old = self._average
+        if old is None:
+            value = target
+        else:
+            weight = 1 - math.exp(-(now - then) / max(1e-6, self.tuning.smooth_boots * boot))
+            value = old + weight * (target - old)
+        self._average = (now, value)
+        return value
+
     def hurried(self, spec: JobSpec) -> bool:
         """Whether a job's class is one whose starts are wanted sooner than a machine boots."""
         known = self.classes.get(spec.cls)
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -38,7 +38,9 @@
 LEFT_S, PRICE_S = 8.0, 8.0
 
 
-def _score(spec: JobSpec, m: Machine, need: tuple[int, int, int]) -> tuple[float, str]:
+def _score(
+    spec: JobSpec, m: Machine, need: tuple[int, int, int], hurry: float = 1.0
+) -> tuple[float, str]:
     """Smaller is better: the wait for the image, what is left free, and the price.
 
     Full machines are filled first and dear ones last, so that whole machines fall idle and can
@@ -51,17 +53,23 @@
         fetch = spec.image_gb / max(t.fetch_gb_per_s, 1e-6)
     left = (m.free[0] - need[0]) / max(t.size[0], 1)
     price = (t.spot_price / t.price) if m.spot and t.price > 0 else 1.0
-    return fetch + LEFT_S * left + PRICE_S * price, m.name
+    return hurry * fetch + LEFT_S * left + PRICE_S * price, m.name
 
 
 def pick(
-    spec: JobSpec, need: tuple[int, int, int], candidates: list[Machine], rng: random.Random
+    spec: JobSpec,
+    need: tuple[int, int, int],
+    candidates: list[Machine],
+    rng: random.Random,
+    hurry: float = 1.0,
 ) -> Machine | None:
-    """Best fit among sampled machines; if none of them fits, the first that does."""
+    """Best fit among sampled machines; if none of them fits, the first that does.
+
+    ``hurry`` weighs the wait for the image."""
     sample = candidates if len(candidates) <= SAMPLE else rng.sample(candidates, SAMPLE)
     fitting = [m for m in sample if room(m, need)]
     if fitting:
-        return min(fitting, key=lambda m: _score(spec, m, need))
+        return min(fitting, key=lambda m: _score(spec, m, need, hurry))
     for m in candidates:
         if room(m, need):
             return m
@@ -90,6 +98,7 @@
     now: float,
     rng: random.Random,
     keep: set[str],
+    hurry: float = 1.0,
 ) -> int:
     """Launch as many pending tasks of an array as fit, off machines kept for gangs; how many."""
     spec = s.spec
@@ -110,7 +119,7 @@
             options = [m for m in options if zones[m.zone]]
         if spec.spread:
             options = [m for m in options if zones[m.zone] < limit]
-        m = pick(spec, s.need, options, rng)
+        m = pick(spec, s.need, options, rng, hurry)
         if m is None:
             break
         n = min(room(m, s.need), budget)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -27,6 +27,10 @@
 
     #: capacity beyond what deadlines need, as a share of it
     margin: float = 0.1
+    #: over how many boot times the need is averaged
+    smooth_boots: float = 2.0
+    #: spare capacity, in machines, before an idle one is given back
+    keep: float = 0.6
     #: share of the time left in which work should be done
     haste: float = 0.4
     #: capacity kept beyond the work at hand, in array jobs of the usual size
@@ -169,8 +173,12 @@
     usual: float,
     scarce_classes: dict[str, tuple[JobSpec, bool]],
     tuning: Tuning,
+    smooth: Callable[[float], float] = lambda x: x,
 ) -> Plan:
-    """The plan for the whole fleet; the same from the same inputs."""
+    """The plan for the whole fleet; the same from the same inputs.
+
+    ``smooth`` follows the target over time: a machine that is rented for a short burst is up only
+    when the burst is over."""
     out = Plan([], [])
     gangs = [x for x in loads if x.spec.kind == GANG]
     arrays = [x for x in loads if x.spec.kind != GANG]
@@ -243,6 +251,7 @@
         target += tuning.reserve * usual
     capacity = sum(m.type.cpus for m in machines if m.name not in used)
     out.reserved = reserved
+    target = smooth(target)
     out.target, out.capacity = target, capacity
 
     def cheaper(m: Have) -> bool:
@@ -292,7 +301,7 @@
     for m in idle:
         if m.age < 58.0 or m.idle < tuning.idle_boots * m.type.boot_s:
             continue
-        if spare_cpus >= m.type.cpus * 0.6 or not arrays:
+        if spare_cpus >= m.type.cpus * tuning.keep or not arrays:
             spare_cpus -= m.type.cpus
             out.release.append(m.name)
     return out
