--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -76,6 +76,8 @@
     wants: dict[str, list[int]]
     #: job, tasks waiting, tasks on machines
     waiting: list[tuple[str, int, int]]
+    #: machines with tasks, and how much of them is in use
+    busy: list[tuple[str, int]]
     #: machines without tasks, and for how long
     idle: list[tuple[str, float]]
     #: jobs whose tasks must start together and that no part has room for as it is
@@ -380,7 +382,11 @@
         waiting = [s for s in part.slices.values() if len(s.pending) and not s.cancelled]
         waiting.sort(
             key=lambda s: order_key(
-                s.spec, s.spec.id in self.guaranteed, wall, f.get(s.spec.cls, 1.0)
+                s.spec,
+                s.spec.id in self.guaranteed,
+                s.spec.id in self.fleet.hopeless,
+                wall,
+                f.get(s.spec.cls, 1.0),
             )
         )
         return waiting
@@ -389,7 +395,7 @@
         now = self.now
         #: share that a gang further ahead waits for: what comes after it leaves that alone
         held: dict[str, list[int]] = {}
-        keep = self.fleet.reserved
+        keep, drain = self.fleet.reserved, self.fleet.drained
         for s in self.ordered(part):
             if s.suspect or now < s.not_before:
                 continue
@@ -398,15 +404,8 @@
             if h is not None:
                 share = (share[0] - h[0], share[1] - h[1])
             if s.spec.kind != GANG:
-                place_array(
-                    part,
-                    s,
-                    share,
-                    now,
-                    self.rng,
-                    keep,
-                    HURRY if s.spec.id in self.guaranteed else 1.0,
-                )
+                hurry = HURRY if s.spec.id in self.guaranteed else 1.0
+                place_array(part, s, share, now, self.rng, keep, drain, hurry)
             elif not place_gang(part, s, share, now) and not s.placed:
                 n = len(s.pending)
                 if h is None:
@@ -513,7 +512,7 @@
             for job, s in p.slices.items()
             if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
         ]
-        idle, gangs, leaving = [], [], []
+        busy, idle, gangs, leaving = [], [], [], []
         for m in p.machines.values():
             if m.releasing or m.condemned or m.draining or m.silent or m.notice_at is not None:
                 leaving.append(m.name)
@@ -521,6 +520,8 @@
                 idle.append((m.name, round(self.now - m.idle_since, 2)))
             elif any(job in p.slices and p.slices[job].spec.kind == GANG for job, _ in m.placed):
                 gangs.append(m.name)
+            elif m.type is not None and m.placed:
+                busy.append((m.name, m.type.size[0] - m.free[0]))
         needs = [s.spec.id for s in self.ordered(p) if self.migrations.homeless(p, s)]
         return Gossip(
             part=p.number,
@@ -530,6 +531,7 @@
             shares=shares,
             wants=wants,
             waiting=waiting,
+            busy=busy,
             idle=idle,
             needs=needs,
             gangs=gangs,
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -37,6 +37,7 @@
     kinds,
     plan,
 )
+from marblestair.core.shares import hopeless
 from marblestair.core.split import MachineRecord
 
 if TYPE_CHECKING:
@@ -60,6 +61,10 @@
         self.tuning = Tuning()
         #: machines kept free of arrays
         self.reserved: set[str] = set()
+        #: machines that are to fall idle, used only when there is no other room
+        self.drained: set[str] = set()
+        #: jobs put off, because their team's limit does not let all be done in time
+        self.hopeless: set[str] = set()
         #: gang classes that come: one of their jobs, and whether starts are wanted at once
         self.classes: dict[str, tuple[JobSpec, bool]] = {}
         #: usual size of an array job within its guarantee, in cpus
@@ -234,6 +239,7 @@
         idle: dict[str, float] = {}
         used: set[str] = set()
         running: set[str] = set()
+        in_use: dict[str, int] = {}
         for t, g in c.gossip.values():
             if c.now - t > 5.0:
                 continue
@@ -242,6 +248,7 @@
                 x[0] += n
                 x[1] += r
             running.update(g.gangs)
+            in_use.update(g.busy)
             for name, since in g.idle:
                 idle[name] = since + (c.now - t)
             used.update(g.leaving)
@@ -276,7 +283,9 @@
                 age = c.wall - known.since
                 idle_s = idle.get(name, -1.0)
                 gang = name in running
-                machines.append(Have(name, kind, known.zone, known.spot, gang, idle_s, age))
+                machines.append(
+                    Have(name, kind, known.zone, known.spot, gang, idle_s, age, in_use.get(name, 0))
+                )
         self._note_classes(live)
         out = plan(
             loads,
@@ -288,7 +297,8 @@
             self.tuning,
             self._smooth,
         )
-        self.reserved = out.reserved
+        self.reserved, self.drained = out.reserved, out.drain
+        self.hopeless = self._put_off(loads)
         if c.now - self._logged.setdefault(-1, -1e9) > 10.0:
             self._logged[-1] = c.now
             c.log(
@@ -301,6 +311,23 @@
             )
         return out
 
+    def _put_off(self, loads: list[Load]) -> set[str]:
+        by_team: dict[str, list[tuple[float, float, str]]] = {}
+        taken: dict[str, float] = {}
+        for x in loads:
+            team = x.spec.team
+            if x.spec.deadline_s is None or x.spec.kind == GANG:
+                # Gangs and undated work go first and leave the rest of the limit.
+                taken[team] = taken.get(team, 0.0) + x.running * x.spec.cpus
+            else:
+                left = (x.pending + 0.5 * x.running) * x.spec.cpus * x.run_s
+                by_team.setdefault(team, []).append((x.due, left, x.spec.id))
+        out: set[str] = set()
+        for team, work in by_team.items():
+            limit = max(1.0, self.c.teams[team].cpus_max - taken.get(team, 0.0))
+            out |= hopeless(work, 0.9 * limit)
+        return out
+
     def _smooth(self, target: float) -> float:
         now = self.c.now
         boot = min((t.boot_s for t in self.c.types.values()), default=30.0)
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -98,9 +98,13 @@
     now: float,
     rng: random.Random,
     keep: set[str],
+    drain: set[str],
     hurry: float = 1.0,
 ) -> int:
-    """Launch as many pending tasks of an array as fit, off machines kept for gangs; how many."""
+    """Launch as many pending tasks of an array as fit; how many.
+
+    Machines in ``keep`` are left to gangs; those in ``drain`` are used only when no other has
+    room."""
     spec = s.spec
     budget = min(within_share(part, s, share), len(s.pending))
     if budget <= 0:
@@ -119,7 +123,11 @@
             options = [m for m in options if zones[m.zone]]
         if spec.spread:
             options = [m for m in options if zones[m.zone] < limit]
-        m = pick(spec, s.need, options, rng, hurry)
+        m = None
+        if drain:
+            m = pick(spec, s.need, [m for m in options if m.name not in drain], rng, hurry)
+        if m is None:
+            m = pick(spec, s.need, options, rng, hurry)
         if m is None:
             break
         n = min(room(m, s.need), budget)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -26,15 +26,15 @@
     """Weights of renting; operators may change them by their policy."""
 
     #: capacity beyond what deadlines need, as a share of it
-    margin: float = 0.1
+    margin: float = 0.0
     #: over how many boot times the need is averaged
-    smooth_boots: float = 2.0
+    smooth_boots: float = 1.0
     #: spare capacity, in machines, before an idle one is given back
     keep: float = 0.6
     #: share of the time left in which work should be done
     haste: float = 0.4
     #: capacity kept beyond the work at hand, in array jobs of the usual size
-    reserve: float = 0.5
+    reserve: float = 0.3
     #: idle machines kept for a class whose starts are wanted sooner than a machine boots
     spare_gangs: int = 1
     #: how much dearer an ordinary machine must be before a spot machine is chosen
@@ -71,6 +71,8 @@
     #: seconds without any task; negative while it is in use, or not up
     idle: float
     age: float
+    #: cpus in use, in fixed point
+    used: int = 0
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -147,6 +149,8 @@
     #: cpus that arrays should have, and cpus they have
     target: float = 0.0
     capacity: float = 0.0
+    #: machines that are to fall idle
+    drain: set[str] = set()
     #: machines set aside for gangs that wait or are expected
     reserved: set[str] = set()
 
@@ -278,8 +282,12 @@
             # A machine much larger than what lacks would stand half empty.
             if k.type.cpus > 2 * lack and k is not options[-1] and not k.spot:
                 continue
-            n = max(1, round(lack / k.type.cpus))
-            short[k.key] = short.get(k.key, 0) + n
+            # Less than half a machine is not worth one, unless there is none at all.
+            n = round(lack / k.type.cpus)
+            if out.capacity <= 0:
+                n = max(1, n)
+            if n:
+                short[k.key] = short.get(k.key, 0) + n
             break
     for x in arrays:
         # Work that no machine at hand may run needs one of its own, whatever the capacity.
@@ -294,6 +302,13 @@
                 short[best.key] = short.get(best.key, 0) + 1
     out.rent = [Want(*key, n) for key, n in short.items()]
 
+    # Let whole machines beyond the target fall idle: dear ones first, then the emptiest.
+    over = out.capacity - target
+    for m in sorted(machines, key=lambda m: (m.spot, m.used / max(1, m.type.size[0]), m.name)):
+        if m.name not in used and over >= m.type.cpus:
+            over -= m.type.cpus
+            out.drain.add(m.name)
+
     # Give back idle machines that neither the arrays nor a waiting gang needs, dearest first.
     spare_cpus = out.capacity - target
     idle = [m for m in machines if m.idle >= 0 and m.name not in used]
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -45,7 +45,7 @@
 
 
 def order_key(
-    spec: JobSpec, guaranteed: bool, wall: float, factor: float
+    spec: JobSpec, guaranteed: bool, hopeless: bool, wall: float, factor: float
 ) -> tuple[int, int, int, float, str]:
     """Smaller is served first: guarantees and high priority, then priority, then slack to the
     deadline or age. A factor corrects the estimate."""
@@ -53,8 +53,27 @@
     if spec.deadline_s is not None:
         slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
         # What cannot be done by a deadline and half any more is of least use.
-        late = int(slack + 0.5 * spec.deadline_s < 0)
+        late = int(hopeless) + 2 * int(slack + 0.5 * spec.deadline_s < 0)
     else:
         slack = spec.at - wall + 120.0
     first = guaranteed or PRIORITIES[spec.priority] >= PRIORITIES["high"]
     return (late, 0 if first else 1, -PRIORITIES[spec.priority], slack, spec.id)
+
+
+def hopeless(work: list[tuple[float, float, str]], limit: float) -> set[str]:
+    """Jobs to put off so that as many as possible are done when due (Moore and Hodgson).
+
+    ``work`` holds seconds until due, cpu seconds left, and the job; ``limit`` is what all of them
+    can use at once."""
+    out: set[str] = set()
+    taken: list[tuple[float, str]] = []
+    total = 0.0
+    for due, amount, job in sorted(work):
+        taken.append((amount, job))
+        total += amount
+        while taken and total > due * limit:
+            worst = max(taken)
+            taken.remove(worst)
+            total -= worst[0]
+            out.add(worst[1])
+    return out
