A part that was lost and given back is rebuilt: ownership is told by the split record itself

The fence key it compared was still the old one, so the part given back to it looked like the one it had lost, and it started what ran elsewhere. Ruled out: machine moves and the promises, by the order of events. The record now holds the term under which a part was taken.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -241,14 +241,15 @@
         for i, rec in enumerate(s.parts):
             part = self.parts.get(i)
             if (rec.owner, rec.incarnation) == self.me:
-                fence = self.view.version(f"{keys.FENCES}{i}")
-                if part is not None and part.fence == fence:
+                if part is not None and part.taken == rec.taken:
                     # The same ownership; another owner may have raised the term, to move a
-                    # machine into this part.
+                    # machine into this part. What tells is in the record itself: the split may
+                    # be read ahead of the rest of the view, and an ownership that ended and
+                    # began again must not look like one.
                     part.term = rec.term
                 else:
                     part = Part(i, rec.term, self.settings.cluster, self.now)
-                    part.fence = fence
+                    part.taken = rec.taken
                     self.parts[i] = part
                     rev = self.view.version(keys.SPLIT)
                     self.runner.keep(partial(self._populate, part, rev))
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -229,8 +229,8 @@
         self.ready = False
         #: being handed to another node
         self.closing = False
-        #: version of the fence under which the part was taken
-        self.fence = 0
+        #: term under which the part was taken; it tells one ownership from the next
+        self.taken = term
         self._attempts = 0
         #: run times of finished tasks against their estimates, by class
         self.finished: list[tuple[JobSpec, float]] = []
--- a/marblestair/core/split.py
+++ b/marblestair/core/split.py
@@ -19,6 +19,8 @@
     incarnation: int
     term: int
     shares: dict[str, list[int]]
+    #: term under which the owner took the part; a raise of the term leaves it
+    taken: int = 0
 
 
 class SplitRecord(msgspec.Struct, array_like=True):
@@ -60,7 +62,9 @@
     return SplitRecord(
         split.counter,
         [
-            PartRecord(p.owner, p.incarnation, p.term, {t: list(s) for t, s in p.shares.items()})
+            PartRecord(
+                p.owner, p.incarnation, p.term, {t: list(s) for t, s in p.shares.items()}, p.taken
+            )
             for p in split.parts
         ],
     )
@@ -72,7 +76,7 @@
     for i in parts:
         out.counter += 1
         p = out.parts[i]
-        p.owner, p.incarnation, p.term = owner, incarnation, out.counter
+        p.owner, p.incarnation, p.term, p.taken = owner, incarnation, out.counter, out.counter
     return out
 
 
--- /dev/null
+++ b/marblestair/policy.py
@@ -0,0 +1,111 @@
+"""Operators' own settings: an optional Starlark script, read once at the start.
+
+The script sees ``cluster`` (read only: ``size``, ``zones``, ``teams``) and calls
+
+- ``tune(NAME = NUMBER, ...)`` to change weights of renting (see docs/operations.md);
+- ``lead("CLASS", SECONDS)`` to serve a class of jobs as if it were due that much earlier.
+
+A script that fails, or asks for what does not exist, is refused with its file and line.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from marblestair.core.renting import Tuning
+from marblestair.settings import Settings
+
+#: what a value of each tunable may be
+RANGES: dict[str, tuple[float, float]] = {
+    "margin": (0.0, 5.0),
+    "reserve": (0.0, 20.0),
+    "spare_gangs": (0, 100),
+    "spot_risk": (0.0, 100.0),
+    "idle_boots": (0.0, 100.0),
+    "smooth_boots": (0.0, 100.0),
+    "keep": (0.0, 100.0),
+    "haste": (0.05, 1.0),
+    "patience": (1.0, 100.0),
+}
+
+
+class PolicyError(Exception):
+    """A script that cannot be used; the text is one line with file and line."""
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """What the script asks for."""
+
+    tuning: Tuning = Tuning()
+    #: class -> seconds by which it is served earlier
+    lead_s: dict[str, float] = {}
+
+
+def _one_line(path: str, error: Exception) -> str:
+    text = str(error)
+    where, what = "", ""
+    for line in text.splitlines():
+        line = line.strip()
+        if line.startswith("-->"):
+            where = line[3:].strip()
+        elif line.startswith("error:"):
+            what = line[6:].strip()
+        elif not what and line and not line.startswith(("|", "Traceback", "*", "File")):
+            what = line
+    where = where or path
+    return f"{where}: {what or text.splitlines()[0]}"
+
+
+def load(path: str, settings: Settings) -> Policy:
+    """Run a script and return what it asks for."""
+    try:
+        with open(path, encoding="utf-8") as f:
+            text = f.read()
+    except OSError as e:
+        raise PolicyError(f"{path}: {e.strerror}") from None
+    except UnicodeDecodeError as e:
+        raise PolicyError(f"{path}: {e}") from None
+    # Only here: the interpreter takes memory that most deployments need not spend.
+    import starlark
+
+    tuned: dict[str, Any] = {}
+    lead_s: dict[str, float] = {}
+
+    def tune(**values: Any) -> None:
+        for name, value in values.items():
+            if name not in RANGES:
+                raise ValueError(f"tune: no such setting: {name}")
+            low, high = RANGES[name]
+            whole = name == "spare_gangs"
+            kinds = (int,) if whole else (int, float)
+            if isinstance(value, bool) or not isinstance(value, kinds):
+                raise ValueError(f"tune: {name} must be a {'whole ' if whole else ''}number")
+            if not (math.isfinite(value) and low <= value <= high):
+                raise ValueError(f"tune: {name} must be from {low} to {high}")
+            tuned[name] = value if whole else float(value)
+
+    def lead(cls: Any, seconds: Any) -> None:
+        if not isinstance(cls, str) or not cls:
+            raise ValueError("lead: the class must be a text")
+        if isinstance(seconds, bool) or not isinstance(seconds, (int, float)):
+            raise ValueError("lead: the seconds must be a number")
+        if not (math.isfinite(seconds) and abs(seconds) <= 1e6):
+            raise ValueError("lead: the seconds are out of range")
+        lead_s[cls] = float(seconds)
+
+    module = starlark.Module()
+    module["cluster"] = {
+        "size": settings.cluster.size,
+        "zones": list(settings.cluster.zones),
+        "teams": [t.name for t in settings.cluster.teams],
+    }
+    module.add_callable("tune", tune)
+    module.add_callable("lead", lead)
+    try:
+        starlark.eval(module, starlark.parse(path, text), starlark.Globals.standard())
+    except Exception as e:
+        raise PolicyError(_one_line(path, e)) from None
+    return Policy(msgspec.structs.replace(Tuning(), **tuned), lead_s)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from marblestair.core import keys
+from marblestair.core import keys, split
 from tests.fakes.world import World, spec
 
 
@@ -342,6 +343,30 @@
     assert not w.broken
 
 
+def test_a_part_lost_and_given_back_is_rebuilt_even_if_only_the_split_is_read() -> None:
+    """Found by a hunt: a node that had been cut read the split ahead of its view, took the part
+    that was given back to it for the one it had lost, and started what ran elsewhere."""
+    w = warm(34)
+    w.submit(spec(1, tasks=9, estimate_s=30.0))
+    w.run(8.0)
+    core = w.cores["n0"]
+    assert core is not None and core.view.split is not None
+    before = core.parts[0]
+    assert before.ready
+    other = split.take(core.view.split, [0], "n1", 7)
+    back = split.take(other, [0], *core.me)
+    version = core.view.version(keys.SPLIT)
+    core.view.take_in(keys.SPLIT, msgspec.to_builtins(back), version + 2)
+    core.sync()
+    assert core.parts[0] is not before and not core.acts(0)
+    # A raise of the term alone keeps what is known.
+    kept = core.parts[1] if 1 in core.parts else core.parts[0]
+    raised = split.raise_term(back, kept.number)
+    core.view.take_in(keys.SPLIT, msgspec.to_builtins(raised), version + 3)
+    core.sync()
+    assert core.parts[kept.number] is kept and kept.term == raised.counter
+
+
 @pytest.mark.parametrize("seed", range(100, 108))
 def test_random_faults_break_no_rule(seed: int) -> None:
     w = warm(seed)
