--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -19,7 +19,7 @@
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
 from marblestair.core.migrate import Migrations
-from marblestair.core.model import GANG, PRIORITIES, MachineType, Order, Report
+from marblestair.core.model import GANG, PRIORITIES, UNIT, MachineType, Order, Report
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.placement import allowed, place_array, place_gang, within_share
 from marblestair.core.progress import keep_progress, load_progress
@@ -119,6 +119,8 @@
         self.guaranteed: set[str] = set()
         #: per class: measured run time against the estimate
         self.factor: dict[str, float] = {}
+        #: class -> seconds by which it is served earlier, from the operators' policy
+        self.lead_s: dict[str, float] = {}
         self.gossip: dict[int, tuple[float, Gossip]] = {}
         self.heard: dict[str, float] = {}
         #: room lowered ahead of a commit that gives it to another part
@@ -386,7 +388,7 @@
                 s.spec,
                 s.spec.id in self.guaranteed,
                 s.spec.id in self.fleet.hopeless,
-                wall,
+                wall + self.lead_s.get(s.spec.cls, 0.0),
                 f.get(s.spec.cls, 1.0),
             )
         )
@@ -540,6 +542,35 @@
             stuck=stuck,
         )
 
+    def status(self) -> dict[str, Any]:
+        """What this node sees and does, for operators."""
+        split = self.view.split
+        parts = []
+        for i, rec in enumerate(split.parts if split is not None else []):
+            heard, g = self.gossip.get(i, (None, None))
+            parts.append(
+                {
+                    "part": i,
+                    "owner": rec.owner,
+                    "term": rec.term,
+                    "shares_cpus": {t: x[0] / UNIT for t, x in rec.shares.items()},
+                    "backlog_cpus": g.backlog / UNIT if g is not None else None,
+                    "told_s_ago": round(self.now - heard, 1) if heard is not None else None,
+                    "machines": sum(m.part == i for m in self.view.machines.values()),
+                }
+            )
+        return {
+            "node": self.node,
+            "acts_for": [p.number for p in self.acting()],
+            "lease_s_left": round(self.authority.until - self.now, 1),
+            "on_promises": self.now < self.authority.trusted_until,
+            "view_s_old": round(self.now - self.view.fresh_at, 1),
+            "live_jobs": len(self.view.jobs),
+            "managed_jobs": len(self.jobs.managed),
+            "migrations": self.migrations.done,
+            "parts": parts,
+        }
+
     # --- peers -----------------------------------------------------------------------------
 
     def note(self, node: str, tag: str, args: list[Any]) -> None:
@@ -557,7 +588,8 @@
 
     def peer_request(self, request: int, node: str, tag: str, args: list[Any]) -> None:
         """A question from another node; answered through ``peer_replies``."""
-        self.heard[node] = self.now
+        if node in self.settings.nodes:
+            self.heard[node] = self.now
         self.spawn(self._peer(request, tag, args))
 
     def _peer(self, request: int, tag: str, args: list[Any]) -> Flow:
@@ -571,6 +603,8 @@
                 answer = self.jobs.apply_cancel(str(args[0]), int(args[1]))
             elif tag in ("lock", "update", "release"):
                 answer = yield from self.migrations.answer(tag, args)
+            elif tag == "status":
+                answer = self.status()
             elif tag == "promise":
                 answer = self.authority.promise(str(args[0]), int(args[1]))
             elif tag == "arrive":
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -9,8 +9,6 @@
 import time
 from typing import Any
 
-import msgspec
-
 from marblestair import wire
 from marblestair.core.calls import (
     NOT_SENT,
@@ -34,6 +32,7 @@
 from marblestair.net.http_client import HttpClient
 from marblestair.net.http_server import Connection, HttpServer
 from marblestair.net.peers import Link, PeerServer
+from marblestair.policy import Policy
 from marblestair.settings import Settings, split_addr
 
 log = logging.getLogger("marblestair")
@@ -49,12 +48,14 @@
 class Node:
     """One controller process."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, policy: Policy) -> None:
         self.settings = settings
         c = settings.cluster
         n = len(settings.nodes)
         seed = int.from_bytes(os.urandom(7), "big")
         self.core = Controller(settings, seed, random.Random(seed), time.monotonic(), time.time())
+        self.core.fleet.tuning = policy.tuning
+        self.core.lead_s = policy.lead_s
         sockets = int(c.machine_limits.sockets)
         self.server = HttpServer(
             self._handle, time.monotonic, max(8, int(sockets * 0.7)), wire.MAX_BODY, 120.0
@@ -270,8 +271,6 @@
         self._flush()
 
 
-def serve(settings: Settings) -> None:
+def serve(settings: Settings, policy: Policy) -> None:
     """Run one controller until the process is killed."""
-    # Decoders are built on first use; do it before requests wait for them.
-    msgspec.msgpack.encode(settings.node)
-    asyncio.run(Node(settings).run())
+    asyncio.run(Node(settings, policy).run())
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 
@@ -343,6 +345,24 @@
     assert not w.broken
 
 
+def test_the_status_view_shows_parts_terms_shares_and_backlog() -> None:
+    w = warm(35)
+    w.submit(spec(1, tasks=9, estimate_s=30.0))
+    w.run(3.0)
+    core = w.cores["n1"]
+    assert core is not None
+    out: list[Any] = []
+    w._waiters[999_999] = out.append
+    core.peer_request(999_999, "operator", "status", [])
+    w.flush("n1")
+    s = out[0]
+    assert s["node"] == "n1" and s["acts_for"] == [1] and s["live_jobs"] == 1
+    assert [p["owner"] for p in s["parts"]] == ["n0", "n1", "n2"]
+    assert sum(p["shares_cpus"]["red"] for p in s["parts"]) == 24.0
+    assert all(p["term"] > 0 and p["backlog_cpus"] is not None for p in s["parts"])
+    assert "operator" not in core.heard
+
+
 def test_a_part_lost_and_given_back_is_rebuilt_even_if_only_the_split_is_read() -> None:
     """Found by a hunt: a node that had been cut read the split ahead of its view, took the part
     that was given back to it for the one it had lost, and started what ran elsewhere."""
