--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -399,16 +399,21 @@
         #: share that a gang further ahead waits for: what comes after it leaves that alone
         held: dict[str, list[int]] = {}
         keep, drain = self.fleet.reserved, self.fleet.drained
+        # Under load most calls find the part full: then there is nothing to go through.
+        usable = [m for m in part.machines.values() if m.usable(now)]
+        least = min((s.need[0] for s in part.slices.values() if len(s.pending)), default=0)
         for s in self.ordered(part):
             if s.suspect or now < s.not_before:
                 continue
+            if s.spec.kind != GANG and not any(m.free[0] >= least for m in usable):
+                continue
             share = self.share(part, s.spec.team)
             h = held.get(s.spec.team)
             if h is not None:
                 share = (share[0] - h[0], share[1] - h[1])
             if s.spec.kind != GANG:
                 hurry = HURRY if s.spec.id in self.guaranteed else 1.0
-                place_array(part, s, share, now, self.rng, keep, drain, hurry)
+                place_array(part, s, share, usable, now, self.rng, keep, drain, hurry)
             elif not place_gang(part, s, share, now) and not s.placed:
                 n = len(s.pending)
                 if h is None:
@@ -562,9 +567,9 @@
         return {
             "node": self.node,
             "acts_for": [p.number for p in self.acting()],
-            "lease_s_left": round(self.authority.until - self.now, 1),
+            "lease_s_left": round(max(0.0, self.authority.until - self.now), 1),
             "on_promises": self.now < self.authority.trusted_until,
-            "view_s_old": round(self.now - self.view.fresh_at, 1),
+            "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
             "live_jobs": len(self.view.jobs),
             "managed_jobs": len(self.jobs.managed),
             "migrations": self.migrations.done,
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -95,6 +95,7 @@
     part: Part,
     s: Slice,
     share: tuple[int, int],
+    usable: list[Machine],
     now: float,
     rng: random.Random,
     keep: set[str],
@@ -109,11 +110,7 @@
     budget = min(within_share(part, s, share), len(s.pending))
     if budget <= 0:
         return 0
-    machines = [
-        m
-        for m in part.machines.values()
-        if m.name not in keep and m.usable(now) and allowed(spec, m)
-    ]
+    machines = [m for m in usable if m.name not in keep and allowed(spec, m)]
     zones = Counter(m.zone for m in s.placed.values())
     limit = zone_limit(spec)
     started = 0
