--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -352,7 +352,10 @@
         heard = [n for n in owned if n != c.node and now - c.heard.get(n, -1e9) < 3.0]
         movable = [i for i in mine if c.acts(i) and now - c.parts[i].since > self.ttl]
         if c.isolated(now):
-            others = [n for n in owned if n != c.node]
+            # Where all nodes have lost the machines, it is not this node's network; and while
+            # the others are heard, only one that hears its machines can do better.
+            others = heard if heard else [n for n in owned if n != c.node]
+            others = [n for n in others if not heard or c.in_touch.get(n, False)]
             if others and movable:
                 target = min(others, key=lambda n: (owned[n], n))
                 c.log("info", f"out of touch with the machines: giving part to {target}")
@@ -362,7 +365,8 @@
             return
         for n in sorted(heard):
             since = self.seen_since.get(n, (0, now))[1]
-            if owned[n] == 0 and now - since > SETTLE * self.ttl:
+            fit = c.in_touch.get(n, False) and now - since > SETTLE * self.ttl
+            if owned[n] == 0 and fit:
                 part = next((i for i in movable if c.home(i) == n), movable[-1])
                 self._hand(part, n, now)
                 return
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -123,6 +123,8 @@
         self.lead_s: dict[str, float] = {}
         self.gossip: dict[int, tuple[float, Gossip]] = {}
         self.heard: dict[str, float] = {}
+        #: whether each other node last said that it hears its machines
+        self.in_touch: dict[str, bool] = {}
         #: room lowered ahead of a commit that gives it to another part
         self.lowered: dict[tuple[int, str], list[int]] = {}
         self.authority = Authority(self)
@@ -482,7 +484,9 @@
             self.gossip[p.number] = (self.now, g)
             told.append(msgspec.to_builtins(g))
         for peer in self.settings.others:
-            self.notes.append(Note(peer.node, "gossip", [self.incarnation, told]))
+            self.notes.append(
+                Note(peer.node, "gossip", [self.incarnation, told, not self.isolated(self.now)])
+            )
 
     def measure(self, p: Part) -> Gossip:
         """What the others should know about a part."""
@@ -586,6 +590,7 @@
                 for raw in args[1]:
                     g = msgspec.convert(raw, Gossip)
                     self.gossip[g.part] = (self.now, g)
+                self.in_touch[node] = bool(args[2])
             elif tag == "progress":
                 self.jobs.told(args)
         except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -4,6 +4,7 @@
 
 import math
 from decimal import ROUND_CEILING, ROUND_FLOOR, Decimal
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -12,11 +13,13 @@
 UNIT = 1_000_000
 
 
+@lru_cache(maxsize=4096)
 def up(x: float) -> int:
     """A requested amount as fixed point, rounded up."""
     return int((Decimal(repr(x)) * UNIT).to_integral_value(ROUND_CEILING))
 
 
+@lru_cache(maxsize=4096)
 def down(x: float) -> int:
     """An available amount as fixed point, rounded down."""
     return int((Decimal(repr(x)) * UNIT).to_integral_value(ROUND_FLOOR))
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -262,14 +262,15 @@
         """Whether a spot machine could be had that does this ordinary machine's work for less."""
         if m.spot or not arrays:
             return False
-        price = m.type.price / max(m.type.cpus, 1.0)
-        return any(
-            k.spot
-            and not refused(k)
-            and k.price * (1 + tuning.spot_risk) / max(k.type.cpus, 1.0) < 0.7 * price
-            for x in arrays
-            for k in kinds(x.spec, types)
-        )
+        return cheapest < 0.7 * m.type.price / max(m.type.cpus, 1.0)
+
+    spots = {
+        k.key: k.price * (1 + tuning.spot_risk) / max(k.type.cpus, 1.0)
+        for x in arrays
+        for k in kinds(x.spec, types)
+        if k.spot and not refused(k)
+    }
+    cheapest = min(spots.values(), default=1e18)
 
     steady = sum(m.type.cpus for m in machines if m.name not in used and not cheaper(m))
     if arrays and target > steady:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -345,6 +345,39 @@
     assert not w.broken
 
 
+def test_a_node_cut_from_all_but_the_state_service_gives_its_part_away() -> None:
+    w = warm(36)
+    w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(12.0)
+    w.isolate("n0", "n1", "n2", "users", *w.workers)
+    w.run(9.0)
+    assert owner(w, 0) != "n0"
+    core = w.cores["n0"]
+    assert core is not None and not core.acting()
+    w.heal()
+    assert w.finish("job-000001", 300.0)
+    # The machines' leases were kept: nothing was started twice, not even one after the other.
+    assert len(w.starts) == 12
+    assert owner(w, 0) == "n0"
+    assert not w.broken
+
+
+def test_parts_stay_where_they_are_when_all_machines_fall_silent() -> None:
+    """Found in an incident: with all machines hanging, nodes passed parts around in vain."""
+    w = warm(37)
+    w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(12.0)
+    for m in w.workers.values():
+        m.hung = True
+    w.run(8.0)
+    assert [owner(w, i) for i in range(3)] == ["n0", "n1", "n2"]
+    assert w.state.data[keys.SPLIT][0][0] == 3
+    for m in w.workers.values():
+        m.hung = False
+    assert w.finish("job-000001", 300.0)
+    assert not w.broken
+
+
 def test_the_status_view_shows_parts_terms_shares_and_backlog() -> None:
     w = warm(35)
     w.submit(spec(1, tasks=9, estimate_s=30.0))
