--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -349,6 +349,10 @@
         """Remember which classes come, for what is kept ready for them."""
         c = self.c
         soon = {o.cls: o.within_s for o in c.settings.cluster.objectives if o.kind == "wait"}
+        promised = min(
+            (o.within_s for o in c.settings.cluster.objectives if o.kind == "guarantee"),
+            default=1e9,
+        )
         for rec in live:
             spec = rec.spec
             if spec.id in self._noted:
@@ -360,6 +364,7 @@
                 boots = [k.type.boot_s for k in kinds(spec, c.types)]
                 wanted = soon.get(spec.cls)
                 hurry = wanted is not None and bool(boots) and wanted < 2 * min(boots)
+                hurry = hurry or (bool(boots) and promised < min(boots))
                 self.classes[spec.cls] = (spec, hurry)
                 self._seen[spec.cls] = c.now
             else:
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -148,6 +148,12 @@
             if r.status == 200:
                 c.view.committed(commit, r.rev)
                 c.sync()
+                parts = {p: sum(b - a for a, b in r) for p, r in rec.slices.items()}
+                c.log(
+                    "info",
+                    f"accepted {job}: {spec.kind} of {spec.cls} for {spec.team}, tasks by part"
+                    f" {parts}{', within its guarantee' if job in c.guaranteed else ''}",
+                )
                 return 201, ("queued", 0, 0), "", 0
             if r.status in (0, 409):
                 # Perhaps an earlier try of ours, or of the user by way of another node.
