--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -23,7 +23,6 @@
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.placement import allowed, place_array, place_gang, within_share
 from marblestair.core.progress import keep_progress, load_progress
-from marblestair.core.renting import per_machine
 from marblestair.core.shares import order_key, within_guarantee
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
@@ -69,6 +68,8 @@
     term: int
     #: free room by machine: type, zone, spot, cpus, gpus, memory
     rooms: list[tuple[str, str, bool, int, int, int]]
+    #: the same, for what a hurried gang of high priority may have by stopping arrays
+    held: list[tuple[str, str, bool, int, int, int]]
     backlog: int
     #: room left under each team's share
     shares: dict[str, list[int]]
@@ -423,32 +424,41 @@
                 h[0] += n * s.need[0]
                 h[1] += n * s.need[1]
                 if self.fleet.hurried(s.spec) and within_share(part, s, share) >= n:
-                    self._make_room(part, s)
+                    self.makes_room(part, s, True)
+
+    def free_for(self, part: Part, m: Machine, level: int) -> list[int] | None:
+        """What would be free on a machine without its tasks of lower priority."""
+        free = list(m.free)
+        for p in m.placed.values():
+            s = part.slices.get(p.job)
+            if s is not None and PRIORITIES[s.spec.priority] < level:
+                for i in range(3):
+                    free[i] += p.need[i]
+        return free
 
-    def _make_room(self, part: Part, s: Slice) -> None:
-        """Stop lower-priority work on a machine kept for this class, cheapest first."""
+    def makes_room(self, part: Part, s: Slice, act: bool) -> bool:
+        """Whether a hurried gang of one machine can have one here by stopping lower-priority
+        work, cheapest first; with ``act`` it is stopped."""
         level = PRIORITIES[s.spec.priority]
+        n = len(s.pending)
         options = []
         for m in part.machines.values():
-            if not m.usable(self.now) or not allowed(s.spec, m) or m.type is None:
+            if not m.placed or not m.usable(self.now) or not allowed(s.spec, m):
                 continue
-            if per_machine(m.type, s.need) < len(s.pending) or not m.placed:
+            free = self.free_for(part, m, level)
+            if free is None or any(f < n * x for f, x in zip(free, s.need, strict=True)):
                 continue
-            lost, free, busy = 0.0, list(m.free), False
-            for p in m.placed.values():
-                t = part.slices.get(p.job)
-                if t is None or PRIORITIES[t.spec.priority] >= level:
-                    continue
-                busy = busy or p.grace is not None
-                for i in range(3):
-                    free[i] += p.need[i]
-                lost += p.need[0] * (self.now - (p.run_since or self.now))
-            if all(f >= len(s.pending) * n for f, n in zip(free, s.need, strict=True)):
-                if busy:
-                    return
-                options.append((lost, m.name, m))
-        if options:
+            if any(p.grace is not None for p in m.placed.values()):
+                return True
+            lost = sum(
+                p.need[0] * (self.now - p.run_since)
+                for p in m.placed.values()
+                if p.run_since is not None
+            )
+            options.append((lost, m.name, m))
+        if options and act:
             part.preempt(min(options)[2], level, set())
+        return bool(options)
 
     # --- time ------------------------------------------------------------------------------
 
@@ -496,6 +506,14 @@
             for m in p.machines.values()
             if m.free[0] > 0 and m.usable(self.now)
         ]
+        held = []
+        for m in p.machines.values():
+            if m.type is None or not m.placed or not m.usable(self.now):
+                continue
+            if m.name in self.fleet.drained:
+                free = self.free_for(p, m, PRIORITIES["high"])
+                if free is not None:
+                    held.append((m.type_name, m.zone, m.spot, free[0], free[1], free[2]))
         wants: dict[str, list[int]] = {}
         stuck: dict[str, list[int]] = {}
         for s in p.slices.values():
@@ -539,6 +557,7 @@
             part=p.number,
             term=p.term,
             rooms=rooms,
+            held=held,
             backlog=backlog,
             shares=shares,
             wants=wants,
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -88,15 +88,19 @@
                 continue
             if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
                 continue
+            hurried = spec.kind == GANG and c.fleet.hurried(spec)
+            if hurried and c.makes_room(part, s, False):
+                continue
             best, most = None, 0
             for g in others:
+                rooms = g.rooms + g.held if hurried else g.rooms
                 room = g.shares.get(spec.team, [0, 0])
                 n = len(s.pending)
                 for have, x in zip(room, need, strict=False):
                     if x > 0:
                         n = min(n, have // x)
                 if whole:
-                    if n < len(s.pending) or not gang_fits(spec, need, g.rooms, n):
+                    if n < len(s.pending) or not gang_fits(spec, need, rooms, n):
                         continue
                 else:
                     n = min(n, sum(rooms_for(spec, need, g.rooms).values()))
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from marblestair.core.model import GANG, JobSpec, MachineType
+from marblestair.core.model import GANG, PRIORITIES, JobSpec, MachineType
 from marblestair.core.part import Part
 
 #: boots longer than this many times the usual are given up
@@ -198,7 +198,7 @@
     reserved: set[str] = set()
     short: dict[tuple[str, str, bool], int] = {}
 
-    def set_aside(spec: JobSpec, n: int) -> None:
+    def set_aside(spec: JobSpec, n: int, aside: set[str]) -> None:
         """Set machines aside for n tasks of a gang's kind, and rent what is missing."""
         options = [k for k in kinds(spec, types) if not refused(k)]
         fits = [
@@ -228,7 +228,7 @@
             k = min(n, per_machine(m.type, spec.need), most - taken.get(m.zone, 0))
             if k > 0:
                 used.add(m.name)
-                reserved.add(m.name)
+                aside.add(m.name)
                 taken[m.zone] = taken.get(m.zone, 0) + k
                 n -= k
         while n > 0:
@@ -243,11 +243,15 @@
 
     for x in gangs:
         if x.pending:
-            set_aside(x.spec, x.pending)
+            set_aside(x.spec, x.pending, reserved)
     for cls in sorted(scarce_classes):
         spec, soon = scarce_classes[cls]
         if soon and tuning.spare_gangs:
-            set_aside(spec, tuning.spare_gangs * spec.tasks)
+            # Where a gang may stop what runs there, arrays may use its machine meanwhile.
+            level = PRIORITIES[spec.priority]
+            soft = all(PRIORITIES[x.spec.priority] < level for x in arrays)
+            aside = out.drain if soft else reserved
+            set_aside(spec, tuning.spare_gangs * spec.tasks, aside)
 
     boot = min((t.boot_s for t in types.values()), default=30.0) * 1.2
     target = _array_target(arrays, boot, tuning)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -378,6 +378,31 @@
     assert not w.broken
 
 
+def test_a_hurried_gang_of_higher_priority_stops_arrays_on_its_machine() -> None:
+    aims = [{"kind": "wait", "class": "g", "within_s": 4.0, "share": 0.9}]
+    w = warm(38, objectives=aims)
+    w.capacity = 1
+    low = w.submit(spec(1, tasks=16, estimate_s=60.0, types=["t8"]))
+    assert w.until(lambda: len(w.starts) >= 8, 30.0)
+    w.run(3.0)
+    asked = w.now
+    gang = w.submit(spec(2, kind="gang", tasks=2, cpus=4.0, cls="g", priority="high"))
+    assert w.finish(gang, 60.0)
+    at = [t for t, job, *_ in w.starts if job == gang]
+    assert len(at) == 2 and max(at) - asked < 8.0
+    assert w.finish(low, 400.0)
+    # Work of the same priority is not stopped.
+    n = len(w.starts)
+    low = w.submit(spec(3, tasks=8, estimate_s=40.0, types=["t8"], priority="high"))
+    assert w.until(lambda: len(w.starts) >= n + 8, 30.0)
+    asked = w.now
+    gang = w.submit(spec(4, kind="gang", tasks=2, cpus=4.0, cls="g", priority="high"))
+    assert w.finish(gang, 200.0)
+    assert min(t for t, job, *_ in w.starts if job == gang) - asked > 15.0
+    assert sum(job == low for _, job, *_ in w.starts) == 8
+    assert not w.broken
+
+
 def test_the_status_view_shows_parts_terms_shares_and_backlog() -> None:
     w = warm(35)
     w.submit(spec(1, tasks=9, estimate_s=30.0))
