Save on spot notices; settle taken machines by the cloud's word

Cause: tasks on a taken machine waited for their lease (10 or 11 s) although a release settles them at once, and checkpointed gangs lost up to a checkpoint's work.

--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -424,8 +424,27 @@
         m.exited = {}
         m.strays = {}
 
+    def _drain(self, now: float) -> None:
+        """Save what can be saved on machines that the cloud takes back."""
+        report_s = self.cluster.workers.report_s
+        for m in self.machines.values():
+            if m.notice_at is None:
+                continue
+            for p in list(m.placed.values()):
+                s = self.slices.get(p.job)
+                if s is None or s.spec.checkpoint_s <= 0 or p.grace is not None:
+                    continue
+                if m.notice_at - now > 2 * s.spec.save_s + 3 * report_s:
+                    continue
+                # A gang saves only if all its tasks are told, and told at nearly the same time.
+                for i, at in s.placed.items():
+                    q = at.placed.get((p.job, i))
+                    if q is not None and q.grace is None:
+                        q.grace, q.why_stop = max(s.spec.save_s, 0.001), "drain"
+
     def tick(self, now: float) -> None:
         """Let leases of silent workers run out."""
+        self._drain(now)
         for m in list(self.machines.values()):
             last = m.answered if m.answered > self.since else self.since
             if (
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -337,6 +337,11 @@
         late = not m.session and now - m.added > BOOT_PATIENCE * boot + lease_s
         lost = m.silent and m.session and now - max(m.seen, part.since) > 1.5 * lease_s
         faulty = m.errors >= 3 and not m.placed
-        if late or lost or m.condemned or faulty:
+        # A machine that is taken back is of no more use once it is empty; and once it is due to
+        # be gone, the cloud's word for it settles its tasks sooner than their lease would.
+        taken = m.notice_at is not None and (
+            not m.placed or (now > m.notice_at + 1.0 and now - m.seen > 0.25 * lease_s)
+        )
+        if late or lost or m.condemned or faulty or taken:
             out.append(m.name)
     return out
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -403,6 +403,34 @@
     assert not w.broken
 
 
+def test_a_spot_notice_saves_what_can_be_saved_and_settles_the_rest_early() -> None:
+    w = warm(39)
+    saves = w.submit(
+        spec(1, kind="gang", tasks=2, cpus=4.0, estimate_s=90.0, checkpoint_s=20.0, save_s=2.0)
+    )
+    plain = w.submit(spec(2, tasks=4, estimate_s=90.0))
+    w.run(20.0)
+    assert {j for _, j, *_ in w.starts} == {saves, plain}
+    began = len(w.starts)
+    orders: list[Any] = []
+    for m in w.workers.values():
+        m.notice = w.now + 10.0
+        obey = m.obey
+        m.obey = lambda o, obey=obey: (orders.extend(o), obey(o))[1]  # type: ignore[method-assign]
+        w.at(10.0, lambda m=m: (setattr(m, "deleted", True), m.tasks.clear()))
+    w.run(9.9)
+    stops = [o for o in orders if o.op == "stop"]
+    assert {(o.job, o.grace_s) for o in stops} == {(saves, 2.0)}
+    assert len({o.index for o in stops}) == 2
+    gone = w.now
+    assert w.until(lambda: len(w.starts) >= began + 6, 30.0)
+    # The arrays' tasks did not have to wait for their machines' leases to run out.
+    again = [t for t, j, *_ in w.starts[began:] if j == plain]
+    assert min(again) - gone < w.lease_s + 3.0
+    assert w.finish(saves, 300.0) and w.finish(plain, 300.0)
+    assert not w.broken
+
+
 def test_the_status_view_shows_parts_terms_shares_and_backlog() -> None:
     w = warm(35)
     w.submit(spec(1, tasks=9, estimate_s=30.0))
