--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -62,6 +62,14 @@
         """What one task takes: cpus, gpus and memory in fixed point."""
         return up(self.cpus), up(self.gpus), up(self.mem_gb)
 
+    def may_run_on(self, type_name: str, zone: str, spot: bool) -> bool:
+        """Whether the job may run on a kind of machine."""
+        return (
+            (self.types is None or type_name in self.types)
+            and (self.zone is None or zone == self.zone)
+            and (self.spot or not spot)
+        )
+
 
 class MachineType(msgspec.Struct, array_like=True, frozen=True):
     """A type of machine the cloud rents."""
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -18,11 +18,7 @@
 
 def allowed(spec: JobSpec, m: Machine) -> bool:
     """Whether the job may run on this machine at all."""
-    return (
-        (spec.types is None or m.type_name in spec.types)
-        and (spec.zone is None or m.zone == spec.zone)
-        and (spec.spot or not m.spot)
-    )
+    return spec.may_run_on(m.type_name, m.zone, m.spot)
 
 
 def room(m: Machine, need: tuple[int, int, int]) -> int:
@@ -179,11 +175,7 @@
     """How many of a job's tasks fit into told rooms, by zone."""
     out: Counter[str] = Counter()
     for type_name, zone, spot, *free in rooms:
-        if (
-            (spec.types is None or type_name in spec.types)
-            and (spec.zone is None or zone == spec.zone)
-            and (spec.spot or not spot)
-        ):
+        if spec.may_run_on(type_name, zone, spot):
             n = min((f // x for f, x in zip(free, need, strict=True) if x > 0), default=0)
             out[zone] += max(0, n)
     return out
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -102,15 +102,6 @@
     count: int
 
 
-def allowed(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
-    """Whether a job may run on a kind of machine."""
-    return (
-        (spec.types is None or type_name in spec.types)
-        and (spec.zone is None or zone == spec.zone)
-        and (spec.spot or not spot)
-    )
-
-
 def per_machine(t: MachineType, need: tuple[int, int, int]) -> int:
     """How many such tasks an empty machine holds."""
     return max(
@@ -126,7 +117,7 @@
             continue
         for z in t.zones:
             for spot in (True, False):
-                if allowed(spec, t.name, z, spot):
+                if spec.may_run_on(t.name, z, spot):
                     out.append(Kind(t, z, spot))
     return out
 
@@ -205,7 +196,7 @@
             m
             for m in sorted(machines, key=lambda m: (m.idle < 0, m.spot, m.name))
             if m.name not in used
-            and allowed(spec, m.type.name, m.zone, m.spot)
+            and spec.may_run_on(m.type.name, m.zone, m.spot)
             and per_machine(m.type, spec.need)
         ]
         room: dict[str, int] = {}
@@ -297,7 +288,7 @@
     for x in arrays:
         # Work that no machine at hand may run needs one of its own, whatever the capacity.
         if x.pending and not any(
-            allowed(x.spec, m.type.name, m.zone, m.spot) and per_machine(m.type, x.spec.need)
+            x.spec.may_run_on(m.type.name, m.zone, m.spot) and per_machine(m.type, x.spec.need)
             for m in machines
             if m.name not in reserved
         ):
