--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -32,9 +32,6 @@
 ATTEMPT_BITS = 24
 #: orders in one answer, to keep it well under the size limit
 MAX_ORDERS = 400
-#: a machine is slow when its tasks take this many times as long as the same jobs' elsewhere,
-#: seen over so many tasks
-SLOW, SLOW_AFTER = 1.5, 8
 #: allowance for clocks that drift apart, as a share of a lease
 DRIFT = 0.002
 
@@ -114,9 +111,6 @@
         self.silent = False
         self.not_before = -1e9
         self.errors = 0
-        #: run times here against those of the same jobs elsewhere, averaged, and how many
-        self.pace = 1.0
-        self.paced = 0
         self.idle_since: float | None = now
         self.images: OrderedDict[str, float] = OrderedDict()
 
@@ -197,9 +191,6 @@
         self.leaving: list[list[int]] = []
         #: the migration that dropped them: an earlier one must not restore them
         self.leaving_by = ""
-        #: run times of finished tasks: their sum and number
-        self.ran_s = 0.0
-        self.ran = 0
 
     @property
     def running(self) -> int:
@@ -561,7 +552,6 @@
             if s is not None:
                 if p.run_since is not None:
                     self.finished.append((s.spec, now - p.run_since))
-                    self._pace(m, s, now - p.run_since, now)
                 m.errors = 0
                 self._done(s, p.index, now)
         elif t.why == "error":
@@ -574,21 +564,6 @@
             m.not_before = now + 2 * self.cluster.workers.report_s
         self._gone(m, p, now)
 
-    def _pace(self, m: Machine, s: Slice, ran: float, now: float) -> None:
-        """Leave a machine alone for a while that takes much longer than others for the same
-        jobs; afterwards it is judged anew, since some only are slow for a time."""
-        if s.spec.kind == GANG:
-            return
-        s.ran_s += ran
-        s.ran += 1
-        if s.ran < 4:
-            return
-        m.pace += 0.2 * (min(4.0, ran / max(0.1, s.ran_s / s.ran)) - m.pace)
-        m.paced += 1
-        if m.paced >= SLOW_AFTER and m.pace > SLOW:
-            m.not_before = now + 3 * self.cluster.workers.lease_s
-            m.pace, m.paced = 1.0, 0
-
     def _orders(self, m: Machine, now: float) -> list[Order]:
         orders: list[Order] = []
         for key, (attempt, done) in m.exited.items():
