Added rules: deaf machines, late copies, nodes apart or cut off, and a bound by age

Each has stories (tests/test_added_rules.py) against fakes that learned the trouble. Causes found by reading and by the stories: a machine that takes no answer up was answered, and so counted as alive, for ever, which held a takeover's tasks up; a late copy of a report brought a returned machine back into the view; with controllers apart a cancel was never answered and a job with slices in several parts never done; a node left with its workers held users and called itself healthy; the largest jobs beyond a team's limit had no bound by age. Also: a hurried gang clears machines in any part, claims what is cleared for it, and the machines kept for a class follow its rate of arrival.

--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -62,7 +62,7 @@
         #: promises held from all the others: until when they stand in for the lease
         self.trusted_until = -1e9
         #: when a renewal last succeeded, and whether the latest one did
-        self._renewed = -1e9
+        self.renewed = -1e9
         self._failing = False
         #: version of the split at which a takeover was sent whose fate is unknown
         self._take_doubt = -1
@@ -175,7 +175,7 @@
         while True:
             yield Sleep(self.ttl / 8)
             now = c.now
-            failing = self._failing and now - self._renewed > 0.3 * self.ttl
+            failing = self._failing and now - self.renewed > 0.3 * self.ttl
             if not failing or not c.parts or not self.holds(now):
                 continue
             if self.trusted_until - now > 0.6 * self.ttl or not c.settings.others:
@@ -212,7 +212,7 @@
         return now < self.promised.get(node, -1e9) or now - self.c.started < self.ttl
 
     def _extend(self, sent: float) -> None:
-        self._renewed = sent
+        self.renewed = sent
         self.until = max(self.until, sent + self.ttl * (1 - DRIFT) - 0.05)
 
     # --- ownership -------------------------------------------------------------------------
--- a/marblestair/core/calls.py
+++ b/marblestair/core/calls.py
@@ -180,4 +180,10 @@
     seconds: float
 
 
-Call: TypeAlias = StateOp | CloudOp | PeerCall | Sleep
+class Inspect(msgspec.Struct, frozen=True):
+    """Ask a worker for its report at once; None when it does not answer."""
+
+    addr: str
+
+
+Call: TypeAlias = StateOp | CloudOp | PeerCall | Inspect | Sleep
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -14,19 +14,29 @@
 
 from marblestair.core import keys
 from marblestair.core.authority import ISOLATED, Authority
+from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
 from marblestair.core.migrate import Migrations
-from marblestair.core.model import GANG, PRIORITIES, UNIT, MachineType, Order, Report
+from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.placement import allowed, place_array, place_gang, within_share
+from marblestair.core.placement import place_array, place_gang, within_share
+from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
 from marblestair.core.shares import order_key, within_guarantee
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
+#: the largest jobs, too, are to begin within this time of the users' rules; work that has waited
+#: for the second as long is helped ahead of everything else
+BEGIN_S = 240.0
+BOUND_S = 0.4 * BEGIN_S
+#: share of a team's room for what has waited for so long
+OLD_SHARE = 0.25
+#: a slice that has not begun gets this part of its tasks at first
+FIRST = 8
 #: weight of the image's fetch where a job is within its team's guarantee
 HURRY = 3.0
 
@@ -132,6 +142,8 @@
         self.jobs = Jobs(self)
         self.fleet = Fleet(self)
         self.migrations = Migrations(self)
+        self.preemption = Preemption(self)
+        self.byrecord = ByRecord(self)
         self._next_slow = now
         self._next_move = now
         self._dirty_place = True
@@ -193,10 +205,18 @@
 
     def healthy(self) -> bool:
         """Whether this node can take requests."""
-        if not self.authority.booted:
+        if not self.authority.booted or self.cut_off():
             return False
         return not self.isolated(self.now)
 
+    def cut_off(self) -> bool:
+        """Whether neither the state service nor another controller has been heard for a lease's
+        time: this node can then tell nobody anything, and says so at once."""
+        limit = self.authority.ttl
+        if self.now - max(self.view.fresh_at, self.authority.renewed, self.started) < limit:
+            return False
+        return all(self.now - self.heard.get(p.node, -1e9) > limit for p in self.settings.others)
+
     def isolated(self, now: float) -> bool:
         """Whether the machines of this node's parts have fallen silent while the state service
         still answers: the sign of a node that is cut off from everything else."""
@@ -398,14 +418,21 @@
         return waiting
 
     def _place(self, part: Part) -> None:
-        now = self.now
+        now, wall = self.now, self.wall
         #: share that a gang further ahead waits for: what comes after it leaves that alone
         held: dict[str, list[int]] = {}
         keep, drain = self.fleet.reserved, self.fleet.drained
         # Under load most calls find the part full: then there is nothing to go through.
-        usable = [m for m in part.machines.values() if m.usable(now)]
+        claims = self.preemption.claims
+        usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
         least = min((s.need[0] for s in part.slices.values() if len(s.pending)), default=0)
-        for s in self.ordered(part):
+        order = self.ordered(part)
+        old = [s for s in order if wall - s.spec.at > BOUND_S]
+        if old:
+            self._help(part, old, usable, keep, drain)
+            gangs = [s for s in old if s.spec.kind == GANG]
+            order = [*gangs, *(s for s in order if s not in gangs)]
+        for s in order:
             if s.suspect or now < s.not_before:
                 continue
             if s.spec.kind != GANG and not any(m.free[0] >= least for m in usable):
@@ -417,48 +444,48 @@
             if s.spec.kind != GANG:
                 hurry = HURRY if s.spec.id in self.guaranteed else 1.0
                 place_array(part, s, share, usable, now, self.rng, keep, drain, hurry)
-            elif not place_gang(part, s, share, now) and not s.placed:
+            elif place_gang(part, s, share, now, self.preemption.claimed):
+                self.log(
+                    "info",
+                    f"part {part.number} starts {s.spec.id}: gang of {s.spec.cls},"
+                    f" {wall - s.spec.at:.1f} s after it was accepted",
+                )
+            elif not s.placed:
                 n = len(s.pending)
                 if h is None:
                     h = held.setdefault(s.spec.team, [0, 0])
                 h[0] += n * s.need[0]
                 h[1] += n * s.need[1]
                 if self.fleet.hurried(s.spec) and within_share(part, s, share) >= n:
-                    self.makes_room(part, s, True)
-
-    def free_for(self, part: Part, m: Machine, level: int) -> list[int] | None:
-        """What would be free on a machine without its tasks of lower priority."""
-        free = list(m.free)
-        for p in m.placed.values():
-            s = part.slices.get(p.job)
-            if s is not None and PRIORITIES[s.spec.priority] < level:
-                for i in range(3):
-                    free[i] += p.need[i]
-        return free
-
-    def makes_room(self, part: Part, s: Slice, act: bool) -> bool:
-        """Whether a hurried gang of one machine can have one here by stopping lower-priority
-        work, cheapest first; with ``act`` it is stopped."""
-        level = PRIORITIES[s.spec.priority]
-        n = len(s.pending)
-        options = []
-        for m in part.machines.values():
-            if not m.placed or not m.usable(self.now) or not allowed(s.spec, m):
-                continue
-            free = self.free_for(part, m, level)
-            if free is None or any(f < n * x for f, x in zip(free, s.need, strict=True)):
+                    self.preemption.clear(part, s, True)
+
+    def _help(
+        self,
+        part: Part,
+        old: list[Slice],
+        usable: list[Machine],
+        keep: set[str],
+        drain: set[str],
+    ) -> None:
+        """Work that has waited for long is not put off any further: the oldest of each team gets
+        a share of the team's room ahead of everything else."""
+        held: dict[str, int] = {}
+        for s in part.slices.values():
+            if s.placed and self.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
+                held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
+        begun = {s.spec.id: bool(s.placed or s.done_count) for s in old}
+        for s in sorted(old, key=lambda s: (begun[s.spec.id], s.spec.at, s.spec.id)):
+            if s.suspect or s.spec.kind == GANG or self.now < s.not_before:
                 continue
-            if any(p.grace is not None for p in m.placed.values()):
-                return True
-            lost = sum(
-                p.need[0] * (self.now - p.run_since)
-                for p in m.placed.values()
-                if p.run_since is not None
-            )
-            options.append((lost, m.name, m))
-        if options and act:
-            part.preempt(min(options)[2], level, set())
-        return bool(options)
+            team, share = s.spec.team, self.share(part, s.spec.team)
+            most = int(OLD_SHARE * share[0]) - held.get(team, 0)
+            n = max(most // s.need[0] if s.need[0] else 1, 0 if held.get(team) else 1)
+            if not begun[s.spec.id]:
+                # Each begins before the oldest is done, if only with a few of its tasks.
+                n = max(1, min(n, s.size // FIRST))
+            if n > 0:
+                n = place_array(part, s, share, usable, self.now, self.rng, keep, drain, 1.0, n)
+                held[team] = held.get(team, 0) + n * s.need[0]
 
     # --- time ------------------------------------------------------------------------------
 
@@ -469,6 +496,7 @@
         self.sync()
         self.authority.tick(now)
         acting = self.acting()
+        self.preemption.tick()
         for p in acting:
             p.tick(now)
             self._place(p)
@@ -504,16 +532,9 @@
         rooms = [
             (m.type_name, m.zone, m.spot, m.free[0], m.free[1], m.free[2])
             for m in p.machines.values()
-            if m.free[0] > 0 and m.usable(self.now)
+            if m.free[0] > 0 and m.usable(self.now) and not self.preemption.claimed(m)
         ]
-        held = []
-        for m in p.machines.values():
-            if m.type is None or not m.placed or not m.usable(self.now):
-                continue
-            if m.name in self.fleet.drained:
-                free = self.free_for(p, m, PRIORITIES["high"])
-                if free is not None:
-                    held.append((m.type_name, m.zone, m.spot, free[0], free[1], free[2]))
+        held = self.preemption.told(p)
         wants: dict[str, list[int]] = {}
         stuck: dict[str, list[int]] = {}
         for s in p.slices.values():
@@ -606,6 +627,9 @@
         self.heard[node] = self.now
         try:
             if tag == "gossip":
+                if self.view.nodes.get(node, args[0]) != args[0]:
+                    # A late message of an earlier process, or one of a process not seen yet.
+                    return
                 for raw in args[1]:
                     g = msgspec.convert(raw, Gossip)
                     self.gossip[g.part] = (self.now, g)
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,6 +18,7 @@
     CloudResult,
     CloudTypes,
     Commit,
+    Inspect,
     Listed,
     ListKeys,
     Put,
@@ -27,6 +29,7 @@
 from marblestair.core.model import GANG, JobRecord, JobSpec, MachineType, Order, Report
 from marblestair.core.part import Machine, Part
 from marblestair.core.renting import (
+    Coming,
     Have,
     Kind,
     Load,
@@ -45,6 +48,8 @@
 
 #: names in one release
 MAX_RELEASE = 100
+#: a class's rate of arrival is taken over this many seconds, or its latest jobs if they are more
+RATE_S, RATE_JOBS = 90.0, 64
 #: machines in one rental
 MAX_RENT = 8
 
@@ -65,8 +70,9 @@
         self.drained: set[str] = set()
         #: jobs put off, because their team's limit does not let all be done in time
         self.hopeless: set[str] = set()
-        #: gang classes that come: one of their jobs, and whether starts are wanted at once
-        self.classes: dict[str, tuple[JobSpec, bool]] = {}
+        #: gang classes that come, and when their latest jobs did
+        self.classes: dict[str, Coming] = {}
+        self._arrived: dict[str, deque[float]] = {}
         #: usual size of an array job within its guarantee, in cpus
         self.usual = 0.0
         #: the arrays' need for capacity, averaged: when, and how much
@@ -132,9 +138,21 @@
         low = min(range(len(count)), key=lambda i: (count[i], i))
         if count[best.number] > count[low] + 1:
             return 421, 0, [], c.owner(low)
-        self.adopt(rep.machine, rep.type, rep.zone, rep.spot, best)
+        if rep.machine not in self._adopting:
+            self._adopting.add(rep.machine)
+            c.spawn(self._take_in(rep, best))
         return 503, 0, [], None
 
+    def _take_in(self, rep: Report, part: Part) -> Flow:
+        """Take in a machine that reports and belongs to nobody, if it is there: the report may be
+        a late copy from one that was returned or taken."""
+        got: Report | None = yield Inspect(rep.addr)
+        if got is None or got.machine != rep.machine:
+            yield Sleep(1.0)
+            self._adopting.discard(rep.machine)
+        else:
+            yield from self._adopt(rep.machine, rep.type, rep.zone, rep.spot, part)
+
     def adopt(self, name: str, type_name: str, zone: str, spot: bool, part: Part) -> None:
         """Take a machine that nobody has into a part."""
         if name not in self._adopting:
@@ -162,6 +180,7 @@
         """Look through the cloud's list for machines that nobody has."""
         c = self.c
         lag = c.settings.cluster.cloud.list_lag_s
+        first: dict[str, float] = {}
         pause = max(2.0, 1.2 * lag)
         while True:
             yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
@@ -171,11 +190,16 @@
             if listed is None or not c.acts(0):
                 continue
             part = c.parts[0]
+            first = {m.name: first.get(m.name, c.now) for m in listed}
             for m in listed:
                 known = m.name in c.view.machines or m.name in c.view.gone
                 # A rental under way is in nobody's part yet: leave its owner time to record it.
                 if known or m.name in self._adopting or m.age_s < 15.0 + 2 * lag:
                     continue
+                if c.now - first[m.name] < 2 * lag:
+                    # A machine that is gone is still listed for a while, and this process may
+                    # not know that it went.
+                    continue
                 if m.state == "failed":
                     c.spawn(self._return_strangers([m.name]))
                 else:
@@ -343,7 +367,7 @@
     def hurried(self, spec: JobSpec) -> bool:
         """Whether a job's class is one whose starts are wanted sooner than a machine boots."""
         known = self.classes.get(spec.cls)
-        return known is not None and known[1]
+        return known is not None and known.hurry
 
     def _note_classes(self, live: list[JobRecord]) -> None:
         """Remember which classes come, for what is kept ready for them."""
@@ -365,7 +389,11 @@
                 wanted = soon.get(spec.cls)
                 hurry = wanted is not None and bool(boots) and wanted < 2 * min(boots)
                 hurry = hurry or (bool(boots) and promised < min(boots))
-                self.classes[spec.cls] = (spec, hurry)
+                at = self._arrived.setdefault(spec.cls, deque(maxlen=RATE_JOBS))
+                at.append(spec.at)
+                span = c.wall - at[0] if len(at) == RATE_JOBS else RATE_S
+                per_s = sum(c.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
+                self.classes[spec.cls] = Coming(spec, hurry, per_s)
                 self._seen[spec.cls] = c.now
             else:
                 size = min(spec.tasks * spec.cpus, c.teams[spec.team].cpus)
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -26,6 +26,7 @@
 )
 from marblestair.core.flow import Flow, Step
 from marblestair.core.manager import ServerManager
+from marblestair.core.migrate import reserve
 from marblestair.core.model import GANG, JobRecord, JobSpec
 from marblestair.core.part import Part
 from marblestair.core.placement import gang_fits
@@ -38,6 +39,9 @@
 State = tuple[str, int | None, int | None]
 UNKNOWN: State = ("unknown", None, None)
 
+#: time for another controller to answer a query, within the 2 s that a user waits, and a cancel,
+#: within the 5 s; what is left of them is for the state service
+QUERY_PEER_S, CANCEL_PEER_S = 0.6, 2.5
 #: final states remembered per node; others are read from the state service
 REMEMBERED = 20_000
 
@@ -190,11 +194,16 @@
         whole = spec.kind == GANG or spec.one_zone or spec.spread
         if whole or spec.tasks < 2 * len(able):
             n = spec.tasks if whole else 1
-            fitting = [
-                i for i in able if i in c.gossip and gang_fits(spec, need, c.gossip[i][1].rooms, n)
-            ]
+            told = {i: c.gossip[i][1] for i in able if i in c.gossip}
+            fitting = [i for i, g in told.items() if gang_fits(spec, need, g.rooms, n)]
+            if not fitting and c.fleet.hurried(spec):
+                # Else where it may stop what runs there.
+                fitting = [i for i, g in told.items() if gang_fits(spec, need, g.rooms + g.held, n)]
             able = fitting or able
             best = min(able, key=lambda i: (load[i], i != home.number, i))
+            if best in told and spec.kind == GANG:
+                # Several that come at once are not all sent to the same machine.
+                reserve(told[best], spec, n)
             return {str(best): [[0, spec.tasks]]}
         out: dict[str, list[list[int]]] = {}
         at = 0
@@ -218,16 +227,20 @@
         c = self.c
         state: State | None = None
         if job not in self.finals and job not in c.view.jobs:
-            yield from self._fresh(job)
+            yield from self.fresh(job)
         if job in self.finals:
             state = (self.finals[job], None, None)
+        elif c.cut_off():
+            state = None
         elif job in c.view.jobs:
             owner = c.owner(c.view.jobs[job].manager)
             got: Any = None
             if owner == c.node:
                 got = yield from self.cancel_here(job)
             elif owner is not None:
-                got = yield PeerCall(owner, "cancel", [job], 3.8)
+                got = yield PeerCall(owner, "cancel", [job], CANCEL_PEER_S)
+            if not isinstance(got, str) and owner != c.node:
+                got = yield from c.byrecord.cancel(job)
             if isinstance(got, str) and got in ("done", "cancelled"):
                 state = (got, None, None)
         else:
@@ -284,17 +297,19 @@
         rec = c.view.jobs.get(job)
         if rec is not None:
             owner = c.owner(rec.manager)
-            if owner is not None and owner != c.node:
-                got = yield PeerCall(owner, "query", [job], 0.6)
+            if owner is not None and owner != c.node and not c.cut_off():
+                got = yield PeerCall(owner, "query", [job], QUERY_PEER_S)
                 if isinstance(got, list) and len(got) == 3:
                     if got[0] in ("done", "cancelled"):
                         self._final(job, got[0])
                     return tuple(got)
-        return (yield from self._fresh(job))
+        return (yield from self.fresh(job))
 
-    def _fresh(self, job: str) -> Step:
+    def fresh(self, job: str) -> Step:
         """Read a job's state from the state service."""
         c = self.c
+        if c.cut_off():
+            return None
         r: StateResult = yield Get(keys.JOBS + job)
         if r.status == 200:
             c.view.take_in(keys.JOBS + job, r.value, r.version)
@@ -317,7 +332,7 @@
 
     def refresh(self, job: str) -> Step:
         """Read a job's record afresh; whether that succeeded."""
-        return (yield from self._fresh(job)) is not None
+        return (yield from self.fresh(job)) is not None
 
     # --- the manager -----------------------------------------------------------------------
 
@@ -367,7 +382,10 @@
         for name, ranges in rec.slices.items():
             size = sum(b - a for a, b in ranges)
             r = mj.reports.get(int(name))
-            if r is None or r.term != s.parts[int(name)].term or not r.done == r.size == size:
+            told = r is not None and r.term == s.parts[int(name)].term
+            if int(name) not in rec.complete and not (
+                told and r is not None and r.done == r.size == size
+            ):
                 return False
             total += size
         return total == rec.spec.tasks
@@ -454,7 +472,7 @@
                 elif r.status == 409:
                     # The record moved on: by an earlier try of ours, or the part has a new
                     # owner. Whatever was in doubt is settled by reading it.
-                    if (yield from self._fresh(mj.job)) is not None:
+                    if (yield from self.fresh(mj.job)) is not None:
                         mj.doubt = False
                         if mj.job in self.finals:
                             c.view.drop(key)
@@ -503,7 +521,7 @@
         """A slice was moved here: the last change entry known of its job (Algorithm 4)."""
         c = self.c
         if c.view.version(keys.JOBS + job) < version:
-            yield from self._fresh(job)
+            yield from self.fresh(job)
         rec = c.view.jobs.get(job)
         return len(rec.changes) if rec is not None else 0
 
@@ -543,7 +561,9 @@
         s = c.view.split
         if s is None:
             return
-        for p in c.acting():
+        acting = c.acting()
+        c.byrecord.tick(acting)
+        for p in acting:
             for job, sl in p.slices.items():
                 rec = c.view.jobs.get(job)
                 if rec is None:
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -33,6 +33,23 @@
 MOST = 4
 
 
+def reserve(g: Gossip, spec: JobSpec, n: int) -> None:
+    """What is on its way to a part is not free there any more."""
+    need = spec.need
+    share = g.shares.get(spec.team, [0, 0])
+    for i in range(2):
+        share[i] -= n * need[i]
+    for rooms in (g.rooms, g.held):
+        for k, told in enumerate(rooms):
+            if n <= 0:
+                return
+            take = min(n, sum(rooms_for(spec, need, [told]).values()))
+            if take > 0:
+                n -= take
+                free = [f - take * x for f, x in zip(told[3:], need, strict=True)]
+                rooms[k] = (told[0], told[1], told[2], free[0], free[1], free[2])
+
+
 class Migrations:
     """Both sides of migrations on one node."""
 
@@ -89,7 +106,7 @@
             if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
                 continue
             hurried = spec.kind == GANG and c.fleet.hurried(spec)
-            if hurried and c.makes_room(part, s, False):
+            if hurried and c.preemption.clear(part, s, False):
                 continue
             best, most = None, 0
             for g in others:
@@ -111,7 +128,7 @@
                 continue
             ranges = s.pending.tail(most)
             if self.start(part, s, ranges, best.part):
-                self._reserve(best, s, most)
+                reserve(best, spec, most)
 
     def _send_room(self, part: Part, s: Slice, others: list[Gossip], whole: bool) -> None:
         """Where machines have room but the team's share does not, send share there first: the
@@ -225,22 +242,6 @@
             m.draining = False
             self._moving = False
 
-    @staticmethod
-    def _reserve(g: Gossip, s: Slice, n: int) -> None:
-        """What is on its way to a part is not free there any more."""
-        share = g.shares[s.spec.team]
-        for i in range(2):
-            share[i] -= n * s.need[i]
-        for k, told in enumerate(g.rooms):
-            if n <= 0:
-                return
-            fits = sum(rooms_for(s.spec, s.need, [told]).values())
-            take = min(n, fits)
-            if take > 0:
-                n -= take
-                free = [f - take * x for f, x in zip(told[3:], s.need, strict=True)]
-                g.rooms[k] = (told[0], told[1], told[2], free[0], free[1], free[2])
-
     def _ask(self, job: str, tag: str, args: list[Any]) -> Step:
         """Ask the job's ServerManager, wherever it is."""
         c = self.c
@@ -383,7 +384,8 @@
         slices[str(target)] = [list(r) for r in given.items]
         if held.items:
             slices[str(source)] = [list(r) for r in held.items]
-        new = msgspec.structs.replace(rec, slices=slices)
+        complete = [p for p in rec.complete if p not in (source, target)]
+        new = msgspec.structs.replace(rec, slices=slices, complete=complete)
         key = keys.JOBS + job
         version = c.view.version(key)
         # The source's fence too: were the part taken over meanwhile, its new owner may have
--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -141,6 +141,8 @@
     slices: dict[str, list[list[int]]]
     #: change list; ``["cancel", seq]`` is the only kind of entry so far
     changes: list[list[Any]]
+    #: parts that recorded their slices here as complete, because the manager did not hear them
+    complete: list[int] = []
 
     @property
     def cancelled(self) -> bool:
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -14,7 +14,6 @@
 
 from marblestair.core.model import (
     GANG,
-    PRIORITIES,
     SERVICE,
     JobRecord,
     JobSpec,
@@ -32,6 +31,13 @@
 ATTEMPT_BITS = 24
 #: orders in one answer, to keep it well under the size limit
 MAX_ORDERS = 400
+#: a machine that has not reported for this many intervals gets nothing new, and gives back what
+#: it was not sent yet
+QUIET_REPORTS = 3.5
+#: a worker that is answered reports again within this many intervals
+HEARD_REPORTS = 2.0
+#: launches or leases in a row without effect after which a machine counts as deaf
+UNHEEDED = 2
 #: allowance for clocks that drift apart, as a share of a lease
 DRIFT = 0.002
 
@@ -79,6 +85,9 @@
 class Machine:
     """A machine of this part."""
 
+    #: no placement on a machine that has not reported for this long; the part sets it
+    quiet_s = 1e9
+
     def __init__(self, name: str, type_name: str, zone: str, spot: bool, now: float) -> None:
         self.name = name
         self.type_name = type_name
@@ -109,6 +118,15 @@
         self.condemned = False
         self.releasing = False
         self.silent = False
+        #: its reports arrive, but answers and commands seem not to: nothing is placed here until
+        #: it reports as often as only a worker does that is answered
+        self.deaf = False
+        self.deaf_since = now
+        #: how often in a row a launch did not show in a newer report, or a lease ran out though
+        #: it was answered
+        self.unheeded = 0
+        #: answers to reports that did not carry this part's term yet
+        self.untaken = 0
         self.not_before = -1e9
         self.errors = 0
         self.idle_since: float | None = now
@@ -145,7 +163,8 @@
         return (
             self.settled
             and self.type is not None
-            and not (self.draining or self.condemned or self.releasing or self.silent)
+            and not (self.draining or self.condemned or self.releasing or self.silent or self.deaf)
+            and now - self.seen < self.quiet_s
             and self.notice_at is None
             and not self.strays
             and now >= self.not_before
@@ -405,6 +424,7 @@
     def add_machine(self, m: Machine) -> None:
         """A machine joins the part."""
         m.join_term = self.term
+        m.quiet_s = QUIET_REPORTS * self.cluster.workers.report_s
         self.machines[m.name] = m
 
     def remove_machine(self, name: str, now: float) -> None:
@@ -447,6 +467,11 @@
         self._drain(now)
         for m in list(self.machines.values()):
             last = m.answered if m.answered > self.since else self.since
+            if now - m.seen >= m.quiet_s:
+                # A launch that is in no answer yet can go elsewhere at once.
+                for p in list(m.placed.values()):
+                    if p.state == "planned":
+                        self._gone(m, p, now)
             if (
                 m.silent
                 or now < last + self.lease_end
@@ -457,6 +482,8 @@
             # No report was answered for longer than the worker's lease: it has killed its
             # tasks. Late copies of its old reports must not bring them back.
             m.silent = True
+            m.untaken = 0
+            self._deaf(m, now)
             m.min_session = m.session + 1 if m.session else 0
             self.forget_tasks(m, now)
             self.suspects.discard(m.name)
@@ -475,10 +502,19 @@
             # A late copy: the worker has given this report up, and its list is old.
             return None
         m.addr = rep.addr
+        often = now - m.seen < HEARD_REPORTS * self.cluster.workers.report_s
         if rep.session != m.session:
             if m.session:
+                # Its lease ran out. If it reported all the while, what it was answered did not
+                # reach it.
+                if now - m.seen < self.cluster.workers.lease_s / 2:
+                    m.unheeded += 1
+                    self._deaf(m, now)
                 self.forget_tasks(m, now)
             m.session = rep.session
+        elif often and m.unheeded < UNHEEDED:
+            # A worker that is not answered within some seconds turns to another controller.
+            m.deaf = False
         m.seq = rep.seq
         m.seen = now
         m.silent = False
@@ -491,7 +527,14 @@
         if not m.settled:
             # Answering renews the lease and raises the token; the list counts only from the
             # first report that carries this term, because only that one is known to be newer
-            # than everything the earlier owner sent.
+            # than everything the earlier owner sent. A machine that does not take the term up
+            # is answered no more, so that its lease, which is counted from the last answer that
+            # it may have had, comes to an end. (A session that moves on would not settle it: the
+            # earlier session may be known from a late copy only.)
+            if m.untaken > UNHEEDED:
+                self._deaf(m, now)
+                return None
+            m.untaken += 1
             m.answered = now
             return []
         self._reconcile(m, rep, now)
@@ -501,6 +544,10 @@
         m.answered = now
         return self._orders(m, now)
 
+    def _deaf(self, m: Machine, now: float) -> None:
+        if not m.deaf:
+            m.deaf, m.deaf_since = True, now
+
     def _reconcile(self, m: Machine, rep: Report, now: float) -> None:
         listed: dict[Key, TaskReport] = {}
         m.exited = {}
@@ -527,8 +574,10 @@
                 self._adopt(m, s, t, now)
             else:
                 m.strays[key] = t.attempt
+        lost = shown = False
         for key, p in list(m.placed.items()):
             found = listed.get(key)
+            shown = shown or (found is not None and p.state == "sent")
             if found is not None and found.attempt == p.attempt:
                 if found.state == "exited":
                     self._exited(m, p, found, now)
@@ -540,12 +589,22 @@
                 # Listed in no report newer than the answer that carried the launch: the answer
                 # was dropped. It may be sent again.
                 p.state = "planned"
+                lost = True
                 s = self.slices.get(key[0])
-                if s is None or s.cancelled or p.grace is not None:
+                if s is None or s.cancelled or p.grace is not None or m.deaf:
                     self._gone(m, p, now)
             elif p.state != "planned":
                 self._gone(m, p, now)
 
+        if shown:
+            m.unheeded = 0
+        elif lost:
+            m.unheeded += 1
+            if m.unheeded >= UNHEEDED and not m.deaf:
+                self._deaf(m, now)
+                for p in [p for p in m.placed.values() if p.state == "planned"]:
+                    self._gone(m, p, now)
+
     def _exited(self, m: Machine, p: Placed, t: TaskReport, now: float) -> None:
         s = self.slices.get(p.job)
         if t.why == "done":
@@ -589,7 +648,7 @@
             if p.state != "planned":
                 continue
             s = self.slices.get(p.job)
-            if s is None or s.cancelled or p.grace is not None or m.draining:
+            if m.deaf or s is None or s.cancelled or p.grace is not None or m.draining:
                 self._gone(m, p, now)
             elif len(orders) < MAX_ORDERS:
                 orders.append(Order("start", p.job, p.index, p.attempt))
@@ -597,16 +656,15 @@
                 p.sent_seq = m.seq
         return orders
 
-    def preempt(self, m: Machine, below: int, spare: set[str]) -> None:
-        """Stop the tasks of lower priority on a machine, to make room for a higher one."""
-        for p in m.placed.values():
+    def stop(self, tasks: list[Placed], why: str) -> None:
+        """Stop tasks to make room for others; what can save does so."""
+        for p in tasks:
             s = self.slices.get(p.job)
-            if s is None or p.job in spare or p.grace is not None:
-                continue
-            if PRIORITIES[s.spec.priority] >= below:
-                continue
-            p.grace = s.spec.save_s if s.spec.checkpoint_s > 0 else 0.0
-            p.why_stop = "preempted"
+            if p.grace is None:
+                saves = s is not None and s.spec.checkpoint_s > 0
+                p.grace = s.spec.save_s if s is not None and saves else 0.0
+                p.why_stop = why
+                p.stop_sent = -1e9
 
     def direct_stops(self, now: float) -> list[tuple[Machine, list[Order]]]:
         """Stops that should not wait for the machine's next report. They are harmless when late:
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -8,6 +8,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 
 from marblestair.core.model import JobSpec
 from marblestair.core.part import Machine, Part, Slice
@@ -97,13 +98,14 @@
     keep: set[str],
     drain: set[str],
     hurry: float = 1.0,
+    most: int = 1 << 30,
 ) -> int:
-    """Launch as many pending tasks of an array as fit; how many.
+    """Launch as many pending tasks of an array as fit, up to ``most``; how many.
 
     Machines in ``keep`` are left to gangs; those in ``drain`` are used only when no other has
     room."""
     spec = s.spec
-    budget = min(within_share(part, s, share), len(s.pending))
+    budget = min(within_share(part, s, share), len(s.pending), most)
     if budget <= 0:
         return 0
     machines = [m for m in usable if m.name not in keep and allowed(spec, m)]
@@ -190,13 +192,23 @@
     return sum(min(x, limit) for x in by_zone.values()) >= n
 
 
-def place_gang(part: Part, s: Slice, share: tuple[int, int], now: float) -> int:
-    """Launch a whole gang or nothing."""
+def place_gang(
+    part: Part,
+    s: Slice,
+    share: tuple[int, int],
+    now: float,
+    claimed: Callable[[Machine, str], bool],
+) -> int:
+    """Launch a whole gang or nothing; machines ``claimed`` for another job are left to it."""
     n = s.size - s.done_count
     if n <= 0 or s.placed or len(s.pending) != n or within_share(part, s, share) < n:
         return 0
     spec = s.spec
-    machines = [m for m in part.machines.values() if m.usable(now) and allowed(spec, m)]
+    machines = [
+        m
+        for m in part.machines.values()
+        if m.usable(now) and allowed(spec, m) and not claimed(m, spec.id)
+    ]
     chosen = plan_gang(spec, s.need, machines, n)
     if chosen is None:
         return 0
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -132,6 +133,27 @@
     return price
 
 
+class Coming(msgspec.Struct, frozen=True):
+    """A class of gangs that comes: one of its jobs, and how often."""
+
+    spec: JobSpec
+    #: whether starts are wanted sooner than a machine boots
+    hurry: bool
+    per_s: float = 0.0
+
+
+def spares(k: Coming, types: dict[str, MachineType], least: int) -> int:
+    """How many gangs of a hurried class come while a machine is rented for one, and a deviation
+    more."""
+    leads = [
+        1.2 * t.boot_s + k.spec.image_gb / max(t.fetch_gb_per_s, 1e-6)
+        for t in types.values()
+        if per_machine(t, k.spec.need)
+    ]
+    mean = k.per_s * min(leads, default=0.0)
+    return max(least, math.ceil(mean + math.sqrt(mean)))
+
+
 class Plan(msgspec.Struct):
     """What should be done about the fleet."""
 
@@ -166,7 +188,7 @@
     types: dict[str, MachineType],
     refused: Callable[[Kind], bool],
     usual: float,
-    scarce_classes: dict[str, tuple[JobSpec, bool]],
+    scarce_classes: dict[str, Coming],
     tuning: Tuning,
     smooth: Callable[[float], float] = lambda x: x,
 ) -> Plan:
@@ -180,8 +202,8 @@
 
     # Types that only some classes' large tasks need are left to them where possible.
     scarce: set[str] = set()
-    for spec, _ in scarce_classes.values():
-        fitting = {k.type.name for k in kinds(spec, types)}
+    for coming in scarce_classes.values():
+        fitting = {k.type.name for k in kinds(coming.spec, types)}
         if len(fitting) < len(types):
             scarce |= fitting
 
@@ -236,13 +258,15 @@
         if x.pending:
             set_aside(x.spec, x.pending, reserved)
     for cls in sorted(scarce_classes):
-        spec, soon = scarce_classes[cls]
-        if soon and tuning.spare_gangs:
+        coming = scarce_classes[cls]
+        spec = coming.spec
+        if coming.hurry and tuning.spare_gangs:
             # Where a gang may stop what runs there, arrays may use its machine meanwhile.
             level = PRIORITIES[spec.priority]
             soft = all(PRIORITIES[x.spec.priority] < level for x in arrays)
             aside = out.drain if soft else reserved
-            set_aside(spec, tuning.spare_gangs * spec.tasks, aside)
+            n = spares(coming, types, tuning.spare_gangs) if soft else tuning.spare_gangs
+            set_aside(spec, n * spec.tasks, aside)
 
     boot = min((t.boot_s for t in types.values()), default=30.0) * 1.2
     target = _array_target(arrays, boot, tuning)
@@ -321,6 +345,9 @@
 def broken(part: Part, lease_s: float, now: float) -> list[str]:
     """Machines to give back because they do not serve: never up, silent, condemned, faulty."""
     out = []
+    known = [m for m in part.machines.values() if m.session]
+    # Where most do not seem to hear, it is this controller that is not heard.
+    alone = 2 * sum(m.deaf for m in known) <= len(known)
     for m in part.machines.values():
         if m.releasing:
             continue
@@ -333,6 +360,7 @@
         taken = m.notice_at is not None and (
             not m.placed or (now > m.notice_at + 1.0 and now - m.seen > 0.25 * lease_s)
         )
-        if late or lost or m.condemned or faulty or taken:
+        deaf = m.deaf and not m.silent and alone and now - m.deaf_since > 1.5 * lease_s
+        if late or lost or deaf or m.condemned or faulty or taken:
             out.append(m.name)
     return out
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -20,6 +20,7 @@
     CloudTypes,
     Commit,
     Get,
+    Inspect,
     LeaseGrant,
     LeaseRenew,
     ListKeys,
@@ -152,7 +153,7 @@
         self._flush()
 
     def _nothing(self, call: Call) -> Any:
-        if isinstance(call, PeerCall):
+        if isinstance(call, (PeerCall, Inspect)):
             return None
         if isinstance(call, (CloudTypes, CloudRent, CloudDelete, CloudList)):
             return CloudResult(0)
@@ -184,6 +185,14 @@
             if status != 200:
                 log.debug("cloud %s %s: %s", method, path, status)
             return wire.cloud_result(call, status, data)
+        if isinstance(call, Inspect):
+            status, data = await self.workers.request(
+                call.addr, "GET", wire.INSPECT_PATH, b"", WORKER_S
+            )
+            try:
+                return wire.parse_report(data) if status == 200 else None
+            except wire.BadRequest:
+                return None
         raise TypeError(f"unknown call {call!r}")
 
     async def _command(self, c: Command) -> None:
--- a/marblestair/wire.py
+++ b/marblestair/wire.py
@@ -270,6 +270,7 @@
 
 
 DO_PATH = "/do"
+INSPECT_PATH = "/inspect"
 
 
 def do_body(token: int, session: int, orders: list[Order]) -> bytes:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -21,6 +21,7 @@
     CloudResult,
     CloudTypes,
     Commit,
+    Inspect,
     Listed,
     PeerCall,
     StateResult,
@@ -120,6 +121,8 @@
         self.up = False
         self.deleted = False
         self.hung = False
+        #: reports arrive, but answers and commands do not
+        self.deaf = False
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], FakeTask] = {}
         self.renewed = 0.0
@@ -327,6 +330,8 @@
         self.starts: list[tuple[float, str, int, str, int]] = []
         #: share of state calls whose answer is lost although they are carried out
         self.lose_answers = 0.0
+        #: share of reports of which a copy comes late, from seconds to several leases
+        self.copies = 0.0
         #: share of commits that are carried out only after a while, unanswered
         self.late_commits = 0.0
         self.drift = {x: 1.0 + self.rng.uniform(-0.0005, 0.0005) for x in self.node_names}
@@ -411,7 +416,8 @@
             worker = self.workers.get(c.addr.split(":")[0])
             if worker is not None:
                 args = (c.token, c.session, c.orders)
-                self.send(name, worker.name, lambda w=worker, a=args: w.direct(*a))
+                if not worker.deaf:
+                    self.send(name, worker.name, lambda w=worker, a=args: w.direct(*a))
         core.commands = []
         for note in core.notes:
             self.send(name, note.node, lambda n=note: self._note(name, n))
@@ -484,6 +490,18 @@
 
             self.send(name, call.node, deliver)
             return
+        if isinstance(call, Inspect):
+            self.at(1.5, lambda: answer(None))
+            seen = self.workers.get(call.addr.split(":")[0])
+            if seen is not None:
+
+                def look(m: Worker) -> None:
+                    if m.up and not m.deleted and not m.hung and not m.deaf:
+                        rep = m.body()
+                        self.send(m.name, name, lambda: answer(rep))
+
+                self.send(name, seen.name, lambda: look(seen))
+            return
         if isinstance(call, (CloudTypes, CloudRent, CloudDelete, CloudList)):
             self.at(4.0, lambda: answer(CloudResult(0)))
             self.send(
@@ -579,9 +597,31 @@
             self.set_time(core)
             result = core.report(rep)
             self.flush(node)
-            self.send(node, rep.machine, lambda: answered(*result))
+            if not self.workers[rep.machine].deaf:
+                self.send(node, rep.machine, lambda: answered(*result))
 
         self.send(rep.machine, node, deliver)
+        if self.copies and self.rng.random() < self.copies:
+            # A copy of the report comes late, at any node; nobody waits for its answer.
+            other = self.rng.choice(self.node_names)
+            self.at(self.rng.uniform(2.0, 3.5 * self.lease_s), lambda: self._copy(other, rep))
+
+    def _copy(self, node: str, rep: Report) -> None:
+        core = self.cores.get(node)
+        if core is not None:
+            self.set_time(core)
+            core.report(rep)
+            self.flush(node)
+
+    def unanswered(self, most: float = 75.0) -> list[str]:
+        """Accepted jobs about which nobody answers within the time, each asked by itself."""
+        left = [j for j in self.accepted]
+        end = self.now + most
+        while left and self.now < end:
+            outs = {j: self.ask(self.rng.choice(self.node_names), "query", j) for j in left}
+            self.run(2.0)
+            left = [j for j in left if not (outs[j] and outs[j][0].status == 200)]
+        return left
 
     # --- users -----------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_added_rules.py
@@ -0,0 +1,287 @@
+"""Stories of the rules and troubles that were added when the deployments grew."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+import msgspec
+import pytest
+
+from marblestair.core import keys
+from marblestair.core.model import TaskReport
+from tests.fakes.world import Worker, World, spec
+from tests.test_stories import owner, warm
+
+
+def busy(w: World) -> list[Worker]:
+    return [m for m in w.workers.values() if m.up and not m.deleted and m.live]
+
+
+def apart(w: World) -> None:
+    """Controllers cannot reach one another, but everything else."""
+    for a, b in itertools.combinations(w.node_names, 2):
+        w.isolate(a, b)
+
+
+# --- machines that do not hear -----------------------------------------------------------------
+
+
+def test_a_deaf_machine_loses_its_work_to_others_and_gets_no_more() -> None:
+    w = warm(50)
+    first = w.submit(spec(1, tasks=12, estimate_s=30.0))
+    w.run(14.0)
+    m = busy(w)[0]
+    mine = {(t.job, t.index) for t in m.live.values()}
+    m.deaf, since = True, w.now
+    w.run(2.5 * w.lease_s)
+    # Its lease ran out, and what it held has begun elsewhere.
+    again = {(j, i) for t, j, i, name, _ in w.starts if t > since and name != m.name}
+    assert mine <= again
+    jobs = [w.submit(spec(n, tasks=8, estimate_s=4.0)) for n in range(2, 6)]
+    assert all(w.finish(j, 60.0) for j in [first, *jobs])
+    # It was given back rather than kept and paid for.
+    w.run(3 * w.lease_s)
+    assert m.deleted
+    assert not w.broken
+
+
+def test_a_new_machine_that_never_hears_holds_nothing_up() -> None:
+    w = warm(51, teams=[{"name": "red", "cpus": 24.0, "cpus_max": 24.0}])
+    job = w.submit(spec(1, tasks=16, estimate_s=6.0))
+    w.run(1.0)
+    assert w.until(lambda: len(w.workers) >= 2, 10.0)
+    m = next(iter(w.workers.values()))
+    m.deaf = True
+    assert w.finish(job, 70.0)
+    assert not [1 for *_, name, _ in w.starts if name == m.name]
+    assert not w.broken
+
+
+def test_a_cancel_on_a_deaf_machine_is_settled_in_time() -> None:
+    w = warm(52)
+    job = w.submit(spec(1, tasks=12, estimate_s=200.0))
+    w.run(14.0)
+    for m in busy(w):
+        m.deaf = True
+    assert w.cancel(job) == "cancelled"
+    w.run(w.cancel_s + 2.0)
+    assert not [t for m in w.workers.values() if not m.deleted for t in m.live.values()]
+    assert not w.broken
+
+
+def test_a_takeover_of_a_deaf_machine_waits_for_its_lease_and_no_longer() -> None:
+    for nodes in (2, 3):
+        w = World(53, nodes)
+        w.run(4.0)
+        job = w.submit(spec(1, tasks=12, estimate_s=40.0))
+        w.run(14.0)
+        m = busy(w)[0]
+        m.deaf = True
+        home = owner(w, w.state.data[keys.MACHINES + m.name][0][0])
+        w.kill(home, back_after=60.0)
+        # What it ran until then is not started elsewhere before its lease must have run out, and
+        # the part is not stuck after that.
+        assert w.finish(job, 150.0)
+        assert not w.broken
+
+
+# --- late copies of reports --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(60, 64))
+def test_late_copies_of_reports_change_nothing(seed: int) -> None:
+    w = warm(seed)
+    w.copies = 0.6
+    jobs = []
+    for n in range(1, 7):
+        jobs.append(w.submit(spec(n, tasks=9, estimate_s=w.rng.uniform(3.0, 20.0))))
+        w.run(w.rng.uniform(2.0, 8.0))
+        if n in (2, 4):
+            w.kill(w.rng.choice(w.node_names), back_after=w.rng.choice([0.1, 6.0]))
+        if n == 3:
+            # A machine whose session moves on.
+            for m in busy(w)[:1]:
+                m.hung = True
+                w.at(1.4 * w.lease_s, lambda m=m: setattr(m, "hung", False))
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken
+
+
+def test_a_late_copy_of_a_released_machine_revives_nothing() -> None:
+    w = warm(65)
+    w.submit(spec(1, tasks=6, estimate_s=3.0))
+    assert w.finish("job-000001", 60.0)
+    reports = {m.name: m.body() for m in w.workers.values() if m.up}
+    assert w.until(lambda: all(m.deleted for m in w.workers.values()), 200.0)
+    # The copies come at processes that know nothing of what was before.
+    for x in w.node_names:
+        w.kill(x, back_after=0.2)
+    w.run(6.0)
+    for x in w.node_names:
+        for rep in reports.values():
+            w._copy(x, rep)
+            w.run(0.3)
+    w.run(5.0)
+    assert not [k for k in w.state.data if k.startswith(keys.MACHINES)]
+    assert not w.broken
+
+
+def test_a_late_copy_settles_no_task_after_a_takeover() -> None:
+    w = warm(66)
+    job = w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(3.0)
+    # Reports from before the launches: they list nothing.
+    old = {m.name: m.body() for m in w.workers.values() if m.up}
+    w.run(12.0)
+    held = {m.name: dict(m.live) for m in busy(w)}
+    assert held
+    w.isolate("n0")
+    w.run(3.0)
+    for rep in old.values():
+        for x in w.node_names:
+            w._copy(x, rep)
+    w.run(9.0)
+    for rep in old.values():
+        for x in w.node_names:
+            w._copy(x, rep)
+    w.heal()
+    assert w.finish(job, 300.0)
+    assert not w.broken
+
+
+def test_an_old_copy_takes_no_notice_back_and_brings_none() -> None:
+    w = warm(67)
+    w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(14.0)
+    m = busy(w)[0]
+    before = m.body()
+    w.run(1.0)
+    core, part = next(
+        (c, p)
+        for c in w.cores.values()
+        if c is not None
+        for p in c.acting()
+        if m.name in p.machines
+    )
+    seen = part.machines[m.name].seen
+    w._copy(core.node, before)
+    w.set_time(core)
+    done = [TaskReport("job-000001", 0, 1, "exited", "done")]
+    late = msgspec.structs.replace(before, notice_s=1.0, tasks=done)
+    w._copy(core.node, late)
+    k = part.machines[m.name]
+    assert k.notice_at is None and k.seen >= seen and len(k.placed) == len(m.live)
+    assert not part.slices["job-000001"].done
+    assert not w.broken
+
+
+# --- controllers apart -------------------------------------------------------------------------
+
+
+def test_controllers_that_cannot_reach_each_other_serve_by_the_state_service() -> None:
+    w = warm(70)
+    old = [w.submit(spec(n, tasks=9, estimate_s=8.0)) for n in range(1, 4)]
+    w.run(10.0)
+    apart(w)
+    w.run(4.0)
+    new = [w.submit(spec(10 + i, tasks=6, estimate_s=5.0), x) for i, x in enumerate(w.node_names)]
+    # Every node tells of every job, and a job whose slices lie in several parts is done.
+    for job in old + new:
+        assert all(w.state_of(job, x) for x in w.node_names)
+    assert all(w.finish(j, 60.0) for j in old + new)
+    long = [w.submit(spec(20 + i, tasks=6, estimate_s=300.0), "n0") for i in range(3)]
+    w.run(8.0)
+    for job, x in zip(long, w.node_names, strict=True):
+        w.cancel_asked.add(job)
+        told: list[Any] = []
+        asked = w.now
+        while not (told and told[0].status == 200):
+            told = w.ask(x, "cancel", job)
+            w.until(lambda o=told: bool(o), 5.0)
+            w.run(1.0)
+            assert w.now - asked < 30.0
+        assert told[0].state == "cancelled"
+    w.run(w.cancel_s + 2.0)
+    assert not w.broken
+    w.heal()
+    assert not w.unanswered()
+    assert not w.broken
+
+
+def test_a_controller_left_with_its_workers_only_is_relieved() -> None:
+    w = warm(71)
+    job = w.submit(spec(1, tasks=12, estimate_s=40.0))
+    w.run(12.0)
+    core = w.cores["n1"]
+    assert core is not None and core.healthy()
+    w.isolate("n1", "state", "n0", "n2")
+    w.run(8.0)
+    assert owner(w, 1) != "n1" and not core.acting() and not core.healthy()
+    # Workers and users are refused at once: no 200, no name, nothing held back.
+    m = busy(w)[0]
+    w.set_time(core)
+    status, _, orders, _ = core.report(m.body())
+    assert status in (421, 503) and not orders
+    for what, arg in (("submit", spec(2)), ("query", job), ("cancel", job)):
+        w.specs["job-000002"] = spec(2)
+        asked = w.now
+        out = w.ask("n1", what, arg)
+        assert out and out[0].status == 503 and w.now == asked and out[0].retry_after
+    w.heal()
+    assert w.finish(job, 200.0)
+    w.run(15.0)
+    assert core.healthy() and core.acting()
+    assert w.state_of(job, "n1") == "done"
+    assert not w.broken
+
+
+# --- back at once ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(80, 83))
+def test_processes_back_at_once_amid_takeovers_with_late_messages(seed: int) -> None:
+    w = warm(seed)
+    w.late_commits, w.lose_answers, w.copies = 0.1, 0.05, 0.2
+    jobs = [w.submit(spec(n, tasks=9, estimate_s=10.0)) for n in range(1, 5)]
+    for n in range(10):
+        w.heal()
+        x = w.node_names[n % 3]
+        w.isolate(x, hold=True)
+        w.run(w.rng.uniform(0.5, 5.0))
+        # The one that would take over dies in the middle of it, and so does the cut one.
+        for y in w.node_names:
+            if w.rng.random() < 0.6:
+                w.kill(y, back_after=w.rng.uniform(0.05, 0.4))
+        w.run(w.rng.uniform(0.1, 1.5))
+        assert not w.broken
+    w.heal()
+    w.late_commits = w.lose_answers = w.copies = 0.0
+    assert not w.unanswered()
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken
+
+
+# --- nobody is given up ------------------------------------------------------------------------
+
+
+def test_in_a_flood_the_largest_jobs_begin_and_every_job_stays_known() -> None:
+    w = warm(90)
+    w.capacity = 3
+    sizes = [4, 4, 4, 4, 30]
+    jobs: dict[str, int] = {}
+    # Several times what the fleet can do, all of it dated, the large ones hopeless from the start.
+    for n in range(1, 61):
+        size = sizes[n % 5]
+        s = spec(n, tasks=size, estimate_s=12.0, deadline_s=30.0, team=["red", "blue"][n % 2])
+        jobs[w.submit(s)] = size
+        w.run(2.0)
+    w.run(200.0)
+    began: dict[str, float] = {}
+    for t, job, *_ in w.starts:
+        began.setdefault(job, t)
+    large = [j for j, n in jobs.items() if n == 30 and w.now - w.accepted[j] > 240.0]
+    assert len(large) >= 8
+    assert all(began.get(j, 1e9) - w.accepted[j] < 240.0 for j in large)
+    assert not w.unanswered()
+    assert not w.broken
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -207,7 +207,7 @@
     core = w.cores["n0"]
     assert core is not None
     core.note("n1", "gossip", [])
-    core.note("n1", "gossip", [1, [["x"]]])
+    core.note("n1", "gossip", [core.view.nodes["n1"], [["x"]]])
     core.note("n1", "progress", [[1, 2]])
     core.note("n1", "what", [1])
     assert sum(level == "error" for level, _ in core.lines) == 3
