Hurried gangs: the shortest aim counts, their team's share and reserved machines too

Ruled out: too few machines (all 30 were up). Now the shortest aim counts, a hurried gang may stop its own team's lower work, the plan sets machines aside for one job by age, the part where a gang waits rents for it, and they move in one commit.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Container
 from functools import partial
 from typing import Any
 
@@ -22,7 +23,7 @@
 from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.placement import place_array, place_gang, within_share
+from marblestair.core.placement import place_array, place_gang
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
 from marblestair.core.shares import order_key, within_guarantee
@@ -421,7 +422,7 @@
         now, wall = self.now, self.wall
         #: share that a gang further ahead waits for: what comes after it leaves that alone
         held: dict[str, list[int]] = {}
-        keep, drain = self.fleet.reserved, self.fleet.drained
+        keep, drain = self.fleet.reserved.keys(), self.fleet.drained
         # Under load most calls find the part full: then there is nothing to go through.
         claims = self.preemption.claims
         usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
@@ -456,15 +457,15 @@
                     h = held.setdefault(s.spec.team, [0, 0])
                 h[0] += n * s.need[0]
                 h[1] += n * s.need[1]
-                if self.fleet.hurried(s.spec) and within_share(part, s, share) >= n:
-                    self.preemption.clear(part, s, True)
+                if self.fleet.hurried(s.spec):
+                    self.preemption.clear(part, s, share, True)
 
     def _help(
         self,
         part: Part,
         old: list[Slice],
         usable: list[Machine],
-        keep: set[str],
+        keep: Container[str],
         drain: set[str],
     ) -> None:
         """Work that has waited for long is not put off any further: the oldest of each team gets
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -65,7 +65,7 @@
         self._hires = 0
         self.tuning = Tuning()
         #: machines kept free of arrays
-        self.reserved: set[str] = set()
+        self.reserved: dict[str, str] = {}
         #: machines that are to fall idle, used only when there is no other room
         self.drained: set[str] = set()
         #: jobs put off, because their team's limit does not let all be done in time
@@ -237,7 +237,8 @@
                 yield from self._release(part, leaving[:MAX_RELEASE])
                 continue
             for i, want in enumerate(plan.rent):
-                if self._turn(i) == part.number:
+                turn = self._turn(i) if want.part < 0 else want.part
+                if turn == part.number:
                     count = min(want.count, MAX_RENT)
                     yield from self._rent(part, msgspec.structs.replace(want, count=count))
                     break
@@ -264,13 +265,15 @@
         used: set[str] = set()
         running: set[str] = set()
         in_use: dict[str, int] = {}
-        for t, g in c.gossip.values():
-            if c.now - t > 5.0:
-                continue
+        at: dict[str, int] = {}
+        fresh = {i for i, (t, _) in c.gossip.items() if c.now - t <= 5.0}
+        for i in sorted(fresh):
+            t, g = c.gossip[i]
             for job, n, r in g.waiting:
                 x = pending.setdefault(job, [0, 0])
                 x[0] += n
                 x[1] += r
+                at[job] = i
             running.update(g.gangs)
             in_use.update(g.busy)
             for name, since in g.idle:
@@ -299,16 +302,27 @@
                 due = spec.deadline_s - passed
             else:
                 due = self.tuning.patience * run_s - passed
-            loads.append(Load(spec, n, r, due, run_s, wide))
+            loads.append(Load(spec, n, r, due, run_s, wide, at.get(spec.id, -1)))
         machines = []
         for name, known in c.view.machines.items():
             kind = c.types.get(known.type)
-            if kind is not None and name not in used:
+            # Of a part whose owner is not heard, neither the work nor the machines are counted.
+            if kind is not None and name not in used and known.part in fresh:
                 age = c.wall - known.since
                 idle_s = idle.get(name, -1.0)
                 gang = name in running
                 machines.append(
-                    Have(name, kind, known.zone, known.spot, gang, idle_s, age, in_use.get(name, 0))
+                    Have(
+                        name,
+                        kind,
+                        known.zone,
+                        known.spot,
+                        gang,
+                        idle_s,
+                        age,
+                        in_use.get(name, 0),
+                        known.part,
+                    )
                 )
         self._note_classes(live)
         out = plan(
@@ -372,7 +386,11 @@
     def _note_classes(self, live: list[JobRecord]) -> None:
         """Remember which classes come, for what is kept ready for them."""
         c = self.c
-        soon = {o.cls: o.within_s for o in c.settings.cluster.objectives if o.kind == "wait"}
+        soon: dict[str, float] = {}
+        for o in c.settings.cluster.objectives:
+            if o.kind == "wait":
+                # A class may have several aims; the shortest tells whether a boot is too long.
+                soon[o.cls] = min(o.within_s, soon.get(o.cls, o.within_s))
         promised = min(
             (o.within_s for o in c.settings.cluster.objectives if o.kind == "guarantee"),
             default=1e9,
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -106,7 +106,7 @@
             if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
                 continue
             hurried = spec.kind == GANG and c.fleet.hurried(spec)
-            if hurried and c.preemption.clear(part, s, False):
+            if hurried and c.preemption.clear(part, s, c.share(part, spec.team), False):
                 continue
             best, most = None, 0
             for g in others:
@@ -174,60 +174,73 @@
                 rec = c.view.jobs.get(job)
                 if rec is None or rec.cancelled or (rec.spec.at, rec.spec.id) > first:
                     continue
-                m = self._idle_for(part, rec.spec, g)
-                if m is not None:
+                move = self._idle_for(part, rec.spec, g)
+                if move:
                     self._moving = True
-                    m.draining = True
-                    c.spawn(self._move(part, m, i))
+                    for m in move:
+                        m.draining = True
+                    c.spawn(self._move(part, move, i))
                     return
 
-    def _idle_for(self, part: Part, spec: JobSpec, g: Gossip) -> Machine | None:
-        """An idle machine here that helps a job in another part, if that is what it lacks."""
-        need = spec.need
+    def _idle_for(self, part: Part, spec: JobSpec, g: Gossip) -> list[Machine]:
+        """Idle machines here that help a job in another part, if that is what it lacks: those that
+        the plan sets aside for it, else one that is set aside for nobody."""
+        c, need = self.c, spec.need
         idle = [
             m
             for m in part.machines.values()
-            if m.usable(self.c.now) and not m.placed and allowed(spec, m) and room(m, need)
+            if m.usable(c.now) and not m.placed and allowed(spec, m) and room(m, need)
         ]
+        aside = [m for m in idle if c.fleet.reserved.get(m.name) == spec.id]
+        if aside:
+            return aside[: max(1, c.settings.cluster.state.txn_ops - 1)]
+        idle = [m for m in idle if not c.preemption.claimed(m, spec.id)]
         if spec.one_zone and idle:
             # All in the zone where most room can be brought together.
             zones = rooms_for(spec, need, g.rooms)
-            for _, other in self.c.gossip.values():
+            for _, other in c.gossip.values():
                 if other.part != g.part:
                     zones += rooms_for(spec, need, other.rooms)
             best = min(zones, key=lambda z: (-zones[z], z), default="")
             idle = [m for m in idle if m.zone == best]
         if not idle or gang_fits(spec, need, g.rooms, spec.tasks):
-            return None
-        return min(idle, key=lambda m: (m.type.price if m.type else 0.0, m.name))
+            return []
+        return [min(idle, key=lambda m: (m.type.price if m.type else 0.0, m.name))]
 
-    def _move(self, part: Part, m: Machine, target: int) -> Flow:
-        """Only idle and settled machines move. The source drops the machine first, and the
-        target's term rises in the same commit, so tokens at a machine only grow."""
+    def _move(self, part: Part, machines: list[Machine], target: int) -> Flow:
+        """Only idle and settled machines move. The source drops them first, and the target's term
+        rises in the same commit, so tokens at a machine only grow."""
         c = self.c
-        key = keys.MACHINES + m.name
         doubt, tries = -1, 0
         try:
-            while c.parts.get(part.number) is part and part.machines.get(m.name) is m:
-                split, rec = c.view.split, c.view.machines.get(m.name)
-                if split is None or rec is None or m.placed:
+            while c.parts.get(part.number) is part:
+                split = c.view.split
+                here = [
+                    m
+                    for m in machines
+                    if part.machines.get(m.name) is m
+                    and not m.placed
+                    and m.name in c.view.machines
+                ]
+                if split is None or not here:
                     return
                 version = c.view.version(keys.SPLIT)
                 if doubt >= 0 and doubt != version:
                     # Whatever was sent is applied, or cannot be any more.
-                    yield from c.authority.refresh_machine(key)
+                    for m in machines:
+                        yield from c.authority.refresh_machine(keys.MACHINES + m.name)
                     return
                 tries += 1
                 if doubt < 0 and (tries > 4 or not c.acts(part.number)):
                     return
-                new = raise_term(split, target)
-                moved = msgspec.structs.replace(rec, part=target)
-                commit = Commit(
-                    [(keys.SPLIT, version), (key, c.view.version(key)), c.fence(part.number)],
-                    [Put(keys.SPLIT, new), Put(key, moved)],
-                    [],
-                    SPLIT,
-                )
+                puts = [Put(keys.SPLIT, raise_term(split, target))]
+                guards = [(keys.SPLIT, version), c.fence(part.number)]
+                for m in here:
+                    key = keys.MACHINES + m.name
+                    rec = c.view.machines[m.name]
+                    puts.append(Put(key, msgspec.structs.replace(rec, part=target)))
+                    guards.append((key, c.view.version(key)))
+                commit = Commit(guards, puts, [], SPLIT)
                 r: StateResult = yield commit
                 if r.status == 200:
                     c.view.committed(commit, r.rev)
@@ -239,7 +252,8 @@
                     yield from c.authority.refresh_split()
                 yield Sleep(0.1 + 0.2 * c.rng.random())
         finally:
-            m.draining = False
+            for m in machines:
+                m.draining = False
             self._moving = False
 
     def _ask(self, job: str, tag: str, args: list[Any]) -> Step:
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from marblestair.core.model import JobSpec
 from marblestair.core.part import Machine, Part, Slice
@@ -95,7 +95,7 @@
     usable: list[Machine],
     now: float,
     rng: random.Random,
-    keep: set[str],
+    keep: Container[str],
     drain: set[str],
     hurry: float = 1.0,
     most: int = 1 << 30,
--- a/marblestair/core/preempt.py
+++ b/marblestair/core/preempt.py
@@ -28,9 +28,12 @@
         self.claims: dict[str, tuple[str, float]] = {}
 
     def claimed(self, m: Machine, job: str = "") -> bool:
-        """Whether a machine is being cleared for another job than this one."""
+        """Whether a machine is being cleared, or set aside by the plan, for another job."""
         claim = self.claims.get(m.name)
-        return claim is not None and claim[0] != job
+        if claim is not None:
+            return claim[0] != job
+        kept = self.c.fleet.reserved.get(m.name, "")
+        return kept not in ("", job) and kept in self.c.view.jobs
 
     def tick(self) -> None:
         """Drop claims of jobs that have started or gone, and those that have lapsed."""
@@ -59,9 +62,35 @@
                 n = min(n, (m.free[i] + sum(p.need[i] for p in victims)) // need[i])
         return max(0, n)
 
-    def clear(self, part: Part, s: Slice, act: bool) -> bool:
+    def _of_team(
+        self, part: Part, s: Slice, lack: int, besides: list[Placed]
+    ) -> list[Placed] | None:
+        """Tasks of the gang's own team whose end frees that much of the team's share here, latest
+        started first, those that are being stopped ahead of all; None when there are not enough."""
+        if lack <= 0:
+            return []
+        level, now = PRIORITIES[s.spec.priority], self.c.now
+        found: list[tuple[float, Placed]] = []
+        for other in part.slices.values():
+            if other.spec.team != s.spec.team or PRIORITIES[other.spec.priority] >= level:
+                continue
+            for i, m in other.placed.items():
+                p = m.placed.get((other.spec.id, i))
+                if p is not None and p not in besides:
+                    ran = now - p.run_since if p.run_since is not None else 0.0
+                    found.append((ran if p.grace is None else -1.0, p))
+        out = []
+        for _, p in sorted(found, key=lambda x: x[0]):
+            if lack <= 0:
+                break
+            out.append(p)
+            lack -= p.need[0]
+        return None if lack > 0 else out
+
+    def clear(self, part: Part, s: Slice, share: tuple[int, int], act: bool) -> bool:
         """Whether the gang can have its machines here by stopping work of lower priority, least
-        lost work first; with ``act`` they are claimed and the work is stopped."""
+        lost work first, and work of its own team where the team's share is what it lacks; with
+        ``act`` the machines are claimed and the work is stopped."""
         c = self.c
         now, job, n = c.now, s.spec.id, len(s.pending)
         if any(claim[0] == job for claim in self.claims.values()):
@@ -69,7 +98,7 @@
         level = PRIORITIES[s.spec.priority]
         options: list[tuple[float, str, int, list[Placed]]] = []
         for m in part.machines.values():
-            if not m.usable(now) or self.claimed(m) or not allowed(s.spec, m):
+            if not m.usable(now) or self.claimed(m, job) or not allowed(s.spec, m):
                 continue
             free = room(m, s.need)
             if free:
@@ -87,9 +116,17 @@
                 break
             chosen.append((name, victims))
             n -= fits
-        if n > 0 or not any(victims for _, victims in chosen):
+        if n > 0:
+            return False
+        stopped = [p for _, victims in chosen for p in victims]
+        # What the share lacks, less what the victims free of it.
+        lack = len(s.pending) * s.need[0] - (share[0] - part.usage(s.spec.team)[0])
+        lack -= sum(p.need[0] for p in stopped if p.team == s.spec.team)
+        own = self._of_team(part, s, lack, stopped)
+        if own is None:
             return False
         if act:
+            part.stop(own, "preempted")
             until = now + CLAIM_REPORTS * c.settings.cluster.workers.report_s
             for name, victims in chosen:
                 self.claims[name] = (job, until)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -13,6 +13,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -58,6 +59,8 @@
     run_s: float
     #: how many of the waiting tasks the team's limit lets run
     wide: int
+    #: part in which a gang waits; -1 when that is not known
+    part: int = -1
 
 
 class Have(msgspec.Struct, frozen=True):
@@ -74,6 +77,13 @@
     age: float
     #: cpus in use, in fixed point
     used: int = 0
+    part: int = -1
+
+    def ready_s(self, busy_s: float) -> float:
+        """In how many seconds it may be empty; ``busy_s`` if it runs arrays now."""
+        if self.idle >= 0:
+            return 0.0
+        return busy_s if self.used else max(1.0, self.type.boot_s - self.age)
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -101,6 +111,8 @@
     zone: str
     spot: bool
     count: int
+    #: part whose owner should rent, because a gang waits there; -1 for any
+    part: int = -1
 
 
 def per_machine(t: MachineType, need: tuple[int, int, int]) -> int:
@@ -164,8 +176,8 @@
     capacity: float = 0.0
     #: machines that are to fall idle
     drain: set[str] = set()
-    #: machines set aside for gangs that wait or are expected
-    reserved: set[str] = set()
+    #: machines set aside for gangs: the job that waits for it, or "" for one that is expected
+    reserved: dict[str, str] = {}
 
 
 def _array_target(loads: list[Load], boot_s: float, tuning: Tuning) -> float:
@@ -208,15 +220,24 @@
             scarce |= fitting
 
     used = {m.name for m in machines if m.gang}
-    reserved: set[str] = set()
-    short: dict[tuple[str, str, bool], int] = {}
+    reserved: dict[str, str] = {}
+    short: dict[tuple[tuple[str, str, bool], int], int] = {}
+    boot = min((t.boot_s for t in types.values()), default=30.0) * 1.2
+
+    def keep(name: str, job: str) -> None:
+        reserved[name] = job
 
-    def set_aside(spec: JobSpec, n: int, aside: set[str]) -> None:
-        """Set machines aside for n tasks of a gang's kind, and rent what is missing."""
+    def set_aside(spec: JobSpec, n: int, part: int, aside: Callable[[str], None]) -> None:
+        """Set machines aside for n tasks of a gang's kind, and rent what is missing.
+
+        Those that are soonest empty go first, and of these the ones in the gang's own part."""
         options = [k for k in kinds(spec, types) if not refused(k)]
         fits = [
             m
-            for m in sorted(machines, key=lambda m: (m.idle < 0, m.spot, m.name))
+            for m in sorted(
+                machines,
+                key=lambda m: (m.ready_s(boot), m.part != part, m.spot, m.name),
+            )
             if m.name not in used
             and spec.may_run_on(m.type.name, m.zone, m.spot)
             and per_machine(m.type, spec.need)
@@ -241,7 +262,7 @@
             k = min(n, per_machine(m.type, spec.need), most - taken.get(m.zone, 0))
             if k > 0:
                 used.add(m.name)
-                aside.add(m.name)
+                aside(m.name)
                 taken[m.zone] = taken.get(m.zone, 0) + k
                 n -= k
         while n > 0:
@@ -250,13 +271,14 @@
                 return
             best = min(open_kinds, key=lambda k: (_per_cpu(k, spec, tuning, set()), k.zone))
             k_tasks = min(n, per_machine(best.type, spec.need), most - taken.get(best.zone, 0))
-            short[best.key] = short.get(best.key, 0) + 1
+            short[(best.key, part)] = short.get((best.key, part), 0) + 1
             taken[best.zone] = taken.get(best.zone, 0) + k_tasks
             n -= k_tasks
 
     for x in gangs:
         if x.pending:
-            set_aside(x.spec, x.pending, reserved)
+            job = x.spec.id
+            set_aside(x.spec, x.pending, x.part, partial(keep, job=job))
     for cls in sorted(scarce_classes):
         coming = scarce_classes[cls]
         spec = coming.spec
@@ -264,11 +286,10 @@
             # Where a gang may stop what runs there, arrays may use its machine meanwhile.
             level = PRIORITIES[spec.priority]
             soft = all(PRIORITIES[x.spec.priority] < level for x in arrays)
-            aside = out.drain if soft else reserved
             n = spares(coming, types, tuning.spare_gangs) if soft else tuning.spare_gangs
-            set_aside(spec, n * spec.tasks, aside)
+            aside: Callable[[str], None] = out.drain.add if soft else partial(keep, job="")
+            set_aside(spec, n * spec.tasks, -1, aside)
 
-    boot = min((t.boot_s for t in types.values()), default=30.0) * 1.2
     target = _array_target(arrays, boot, tuning)
     if arrays or usual:
         target += tuning.reserve * usual
@@ -307,7 +328,7 @@
             if out.capacity <= 0:
                 n = max(1, n)
             if n:
-                short[k.key] = short.get(k.key, 0) + n
+                short[(k.key, -1)] = short.get((k.key, -1), 0) + n
             break
     for x in arrays:
         # Work that no machine at hand may run needs one of its own, whatever the capacity.
@@ -317,10 +338,11 @@
             if m.name not in reserved
         ):
             options = [k for k in kinds(x.spec, types) if not refused(k)]
-            if options and not any(k.key in short for k in options):
+            coming_kinds = {key for key, _ in short}
+            if options and not any(k.key in coming_kinds for k in options):
                 best = min(options, key=lambda k: (_per_cpu(k, x.spec, tuning, scarce), k.zone))
-                short[best.key] = short.get(best.key, 0) + 1
-    out.rent = [Want(*key, n) for key, n in short.items()]
+                short[(best.key, -1)] = short.get((best.key, -1), 0) + 1
+    out.rent = [Want(*key, n, part) for (key, part), n in short.items()]
 
     # Let whole machines beyond the target fall idle: dear ones first, then the emptiest.
     over = out.capacity - target
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -614,3 +614,24 @@
     w.capacity = 12
     assert all(w.finish(j, 900.0) for j in jobs)
     assert not w.broken
+
+
+def test_a_hurried_gang_gets_its_teams_share_from_the_teams_own_arrays() -> None:
+    """Found on a simulated steady day: a team's arrays held its whole limit, and its urgent gangs
+    waited for minutes. The class had two aims, too, and only the longer one was looked at."""
+    aims = [
+        {"kind": "wait", "class": "g", "within_s": 4.0, "share": 0.9},
+        {"kind": "wait", "class": "g", "within_s": 60.0, "share": 0.97},
+    ]
+    w = warm(42, objectives=aims)
+    low = w.submit(spec(1, team="blue", tasks=40, estimate_s=60.0))
+    assert w.until(lambda: len(w.starts) >= 12, 40.0)
+    w.run(3.0)
+    asked = w.now
+    gang = w.submit(
+        spec(2, kind="gang", team="blue", tasks=1, cpus=4.0, cls="g", priority="high")
+    )
+    assert w.until(lambda: any(j == gang for _, j, *_ in w.starts), 12.0)
+    assert w.now - asked < 12.0
+    assert w.finish(gang, 60.0) and w.finish(low, 500.0)
+    assert not w.broken
