--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -19,6 +19,10 @@
     from marblestair.core.controller import Controller
 
 
+#: share of a node's changes that progress may take, so that it holds nothing else up
+SHARE = 0.35
+
+
 def load_progress(c: Controller, part: Part) -> Step:
     """All pages of a part: job -> page -> (bits, version); None when the part was lost."""
     out: dict[str, dict[int, tuple[int, int]]] = {}
@@ -60,17 +64,26 @@
 
 
 def keep_progress(c: Controller, part: Part) -> Flow:
-    """Write what is finished, in batches, about once a second."""
-    ops = c.settings.cluster.state.txn_ops
+    """Write what is finished, in batches, about once a second, or as the rate allows: the number
+    of slices grows with the load, the state service's rate does not. What is finished and not
+    written yet is kept by its worker, which is told to forget it only afterwards."""
+    state = c.settings.cluster.state
+    ops = state.txn_ops
+    rate = SHARE * state.write_rps / len(c.settings.nodes)
+    spent = 0
     mask = (1 << PAGE) - 1
     while c.parts.get(part.number) is part:
-        yield Sleep(0.7 + 0.2 * c.rng.random())
+        held = [p for p in c.parts.values() if p.ready]
+        pause = max(0.7, spent * len(held) / rate)
+        spent = 0
+        yield Sleep(pause + 0.2 * c.rng.random())
         if not c.acts(part.number):
             continue
         batch = _dirty(part, c.now)[:ops]
         if not batch:
             if part.trash:
                 drop = list(dict.fromkeys(part.trash))[:ops]
+                spent = len(drop)
                 r: StateResult = yield Commit([c.fence(part.number)], [], drop, PROGRESS)
                 if r.status == 200:
                     part.trash = [k for k in part.trash if k not in drop]
@@ -84,6 +97,7 @@
             guards.append((key, s.pages.get(page, 0)))
             puts.append(Put(key, encode_bits(bits)))
             written.append((s, page, bits))
+        spent = len(puts)
         r = yield Commit(guards, puts, [], PROGRESS)
         if r.status == 200:
             for s, page, bits in written:
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -31,6 +31,12 @@
         self.down = False
         self.refused_nodes: set[str] = set()
         self.writes = 0
+        #: limits of one value in bytes and of one transaction in changes; what exceeds them is
+        #: refused, and noted
+        self.value_limit = 1 << 30
+        self.ops_limit = 1 << 30
+        self.refused: list[str] = []
+        self.largest = 0
 
     def outage(self, down: bool, now: float) -> None:
         """Begin or end an outage; at its end all leases have their full time again."""
@@ -84,6 +90,11 @@
     def _commit(self, op: Commit) -> StateResult:
         if any(p.lease is not None and p.lease not in self.leases for p in op.puts):
             return StateResult(400)
+        sizes = {p.key: len(msgspec.msgpack.encode(p.value)) for p in op.puts}
+        self.largest = max([self.largest, *sizes.values()])
+        if max(sizes.values(), default=0) > self.value_limit or op.writes > self.ops_limit:
+            self.refused.append(f"too large: {op.writes} changes, {sizes}")
+            return StateResult(400)
         failed = [k for k, v in op.guards if (self.data[k][1] if k in self.data else 0) != v]
         if failed:
             return StateResult(409, rev=self.rev, failed=failed)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -260,6 +260,14 @@
             self.waiting_for += 1
             w.at(0.1, self.report)
 
+    def back_at_once(self) -> None:
+        """The machine restarts within a fraction of a second: a new session, nothing on it."""
+        self.tasks = {}
+        self.session += 1
+        self.renewed = self.world.now
+        self.waiting_for += 1
+        self.world.at(self.world.rng.uniform(0.05, 0.5), self.report)
+
     def step(self) -> None:
         """A quarter of a second passes."""
         w = self.world
@@ -311,6 +319,9 @@
         self.lease_s = self.settings[0].cluster.workers.lease_s
         self.cancel_s = self.settings[0].cluster.workers.cancel_s
         self.state = FakeState()
+        limits = self.settings[0].cluster.state
+        self.state.value_limit = int(limits.value_kb * 1024)
+        self.state.ops_limit = limits.txn_ops
         self.cores: dict[str, Controller | None] = dict.fromkeys(self.node_names)
         self.cut: set[frozenset[str]] = set()
         self.hold: list[Callable[[], None]] = []
@@ -593,6 +604,8 @@
         def deliver() -> None:
             core = self.cores.get(node)
             if core is None:
+                # The connection is refused, and the worker turns to the next node.
+                self.at(0.001, lambda: answered(0, 0, [], None))
                 return
             self.set_time(core)
             result = core.report(rep)
--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,171 @@
+"""Stories of size: large fleets, what an event may cost, and gangs of several whole machines."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from marblestair.core.controller import Controller
+from marblestair.core.model import MachineType
+from tests.fakes.world import World, spec
+
+LARGE = [
+    MachineType("m16", 16.0, 0.0, 64.0, 50.0, 1.0, 1.0, 0.35, 5.0, ["a", "b"]),
+    MachineType("m32", 32.0, 0.0, 64.0, 50.0, 1.0, 1.8, 0.7, 5.0, ["a", "b"]),
+]
+
+
+def fleet(seed: int, nodes: int, machines: int, limit: float, **cluster: Any) -> World:
+    """A world of larger machines, with teams' limits to match."""
+    teams = [
+        {"name": n, "cpus": limit / 4, "cpus_max": limit, "gpus": 0.0, "gpus_max": 0.0}
+        for n in ("red", "blue")
+    ]
+    w = World(seed, nodes, teams=teams, **cluster)
+    w.types, w.capacity = LARGE, machines
+    w.run(4.0)
+    return w
+
+
+def load(w: World, first: int, jobs: int, tasks: tuple[int, int], every: float) -> list[str]:
+    """Submit arrays, and now and then an urgent gang that takes a whole machine."""
+    out = []
+    for n in range(first, first + jobs):
+        team = ["red", "blue"][n % 2]
+        if n % 4 == 0:
+            s = spec(
+                n,
+                kind="gang",
+                cls="g",
+                tasks=1,
+                cpus=30.0,
+                mem_gb=20.0,
+                estimate_s=20.0,
+                priority="high",
+                team=team,
+            )
+        else:
+            s = spec(
+                n,
+                tasks=w.rng.randint(*tasks),
+                mem_gb=0.5,
+                estimate_s=15.0,
+                deadline_s=60.0,
+                spot=True,
+                team=team,
+            )
+        out.append(w.submit(s))
+        w.run(every)
+    return out
+
+
+def steps(do: Callable[[], Any]) -> int:
+    """Calls made by the program while something is done; no time is measured."""
+    count = 0
+
+    def seen(_frame: Any, event: str, _arg: Any) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(seen)
+    try:
+        do()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def cost(w: World, seconds: float) -> dict[str, float]:
+    """Steps per report and per tick of the cores, and bytes per note, over some seconds."""
+    total = {"report": 0, "tick": 0, "note": 0}
+    count = {"report": 0, "tick": 0, "note": 0}
+    plain = {name: getattr(Controller, name) for name in ("report", "tick", "note")}
+
+    def counted(name: str) -> Callable[..., Any]:
+        def call(self: Controller, *args: Any) -> Any:
+            out: list[Any] = []
+            count[name] += 1
+            if name == "note":
+                total[name] += len(msgspec.msgpack.encode(args))
+                return plain[name](self, *args)
+            total[name] += steps(lambda: out.append(plain[name](self, *args)))
+            return out[0]
+
+        return call
+
+    for name in plain:
+        setattr(Controller, name, counted(name))
+    try:
+        w.run(seconds)
+    finally:
+        for name, f in plain.items():
+            setattr(Controller, name, f)
+    return {name: total[name] / max(1, count[name]) for name in total}
+
+
+def test_a_large_fleet_keeps_every_rule_at_a_cost_per_event_that_does_not_grow() -> None:
+    aims = [{"kind": "wait", "class": "g", "within_s": 8.0, "share": 0.9}]
+    small = fleet(7, 5, 40, 300.0, objectives=aims)
+    load(small, 1, 20, (20, 60), 1.0)
+    before = cost(small, 6.0)
+
+    state = dict(rps=100.0, write_rps=40.0, value_kb=4.0, txn_ops=12)
+    w = fleet(7, 5, 170, 1300.0, objectives=aims, state=state)
+    jobs = load(w, 1, 40, (100, 250), 0.8)
+    up = [m for m in w.workers.values() if m.up and not m.deleted]
+    live = sum(len(m.live) for m in up)
+    assert len(up) >= 120 and live >= 1500
+    writes, then = w.state.writes, w.now
+    after = cost(w, 6.0)
+    # Four times the machines and five times the tasks. A report costs what it lists, a tick what
+    # its part holds; neither what the whole fleet and all jobs together are.
+    assert after["report"] < 2.5 * before["report"]
+    assert after["tick"] < 5.0 * before["tick"]
+    assert after["note"] < 5.0 * before["note"]
+    # Changes of the state service stay within its rate, whatever runs.
+    assert (w.state.writes - writes) / (w.now - then) < 40.0
+    # A node falls and comes back at once, and another for longer.
+    w.kill("n1", back_after=0.2)
+    w.kill("n3", back_after=12.0)
+    w.run(20.0)
+    assert not w.broken
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken and not w.state.refused and w.state.largest <= 4096
+    # Reports were answered in time all the while.
+    assert all(m.session == 1 for m in w.workers.values() if m.up and not m.deleted)
+
+
+def test_gangs_of_whole_machines_collect_them_from_all_parts_while_arrays_fill_the_fleet() -> None:
+    w = fleet(8, 3, 9, 300.0)
+    arrays = [
+        w.submit(spec(n, tasks=60, estimate_s=12.0, mem_gb=0.5, team="red")) for n in range(1, 7)
+    ]
+    w.run(15.0)
+    asked = w.now
+    gangs = [
+        w.submit(
+            spec(n, kind="gang", team="blue", tasks=3, cpus=30.0, mem_gb=20.0, estimate_s=10.0)
+        )
+        for n in (20, 21)
+    ]
+    assert w.until(lambda: sum(j in gangs for _, j, *_ in w.starts) == 6, 120.0)
+    for g in gangs:
+        at = [t for t, j, *_ in w.starts if j == g]
+        assert len(at) == 3 and max(at) - min(at) < 3.0 and max(at) - asked < 120.0
+    # The older one came first: they did not each hold half of what both need.
+    first = {g: min(t for t, j, *_ in w.starts if j == g) for g in gangs}
+    assert first[gangs[0]] <= first[gangs[1]]
+    assert all(w.finish(j, 300.0) for j in arrays + gangs)
+    assert not w.broken
+
+
+def test_deployments_of_other_sizes_work() -> None:
+    for nodes, machines in ((1, 6), (7, 60)):
+        w = fleet(9, nodes, machines, 200.0)
+        jobs = load(w, 1, 8, (5, 30), 1.0)
+        w.kill("n0", back_after=2.0)
+        assert all(w.finish(j, 200.0) for j in jobs), nodes
+        assert not w.broken and not w.state.refused
