--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -33,6 +33,8 @@
 LEASE_RATIO = 0.4
 #: a node that has to be out of touch with its machines this long gives its parts away
 ISOLATED = 0.35
+#: share of a node's requests to the state service that its watch may take
+WATCH_SHARE = 0.2
 #: a node must have been seen this many leases before it is given a part back
 SETTLE = 1.5
 
@@ -120,6 +122,10 @@
     def _follow(self) -> Flow:
         c = self.c
         wait_ms = int(self.ttl * 500)
+        # On a busy deployment something always has changed: a watch answers at once, and may not
+        # take the node's whole rate of requests.
+        rps = c.settings.cluster.state.rps / len(c.settings.nodes)
+        pause = min(self.ttl / 8, max(0.15, 1.0 / (WATCH_SHARE * rps)))
         while True:
             sent = c.now
             r: StateResult = yield Watch(keys.VIEW, c.view.rev, wait_ms)
@@ -127,7 +133,7 @@
                 c.view.apply(r.events, r.rev)
                 c.view.fresh_at = max(c.view.fresh_at, sent)
                 c.sync()
-                yield Sleep(max(0.0, sent + 0.15 - c.now))
+                yield Sleep(max(0.0, sent + pause - c.now))
             elif r.status == 410:
                 yield from self._load()
             else:
--- a/marblestair/core/byrecord.py
+++ b/marblestair/core/byrecord.py
@@ -88,7 +88,7 @@
                     jobs.append(job)
             if jobs:
                 self._writing.add(p.number)
-                c.spawn(self._record(p, jobs[: max(1, c.settings.cluster.state.txn_ops // 2)]))
+                c.spawn(self._record(p, jobs[: c.batch]))
 
     def _record(self, p: Part, jobs: list[str]) -> Flow:
         c = self.c
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -72,6 +72,8 @@
         self.hopeless: set[str] = set()
         #: gang classes that come, and when their latest jobs did
         self.classes: dict[str, Coming] = {}
+        #: cpus that each team runs beyond its guarantee; negative below it
+        self.excess: dict[str, float] = {}
         self._arrived: dict[str, deque[float]] = {}
         #: usual size of an array job within its guarantee, in cpus
         self.usual = 0.0
@@ -324,6 +326,13 @@
                         known.part,
                     )
                 )
+        # What each team runs beyond its guarantee.
+        self.excess = {t: -team.cpus for t, team in c.teams.items()}
+        for rec in live:
+            _, r = pending.get(rec.spec.id, [0, 0])
+            self.excess[rec.spec.team] = self.excess.get(rec.spec.team, 0.0) + r * rec.spec.cpus
+        # Each part may stop its share of that.
+        self.excess = {t: x / max(1, len(fresh)) for t, x in self.excess.items()}
         self._note_classes(live)
         out = plan(
             loads,
@@ -500,7 +509,7 @@
             pause = min(4.0, pause * 1.6)
         c.log("info", f"rented {got.machines} as {name}: {want.type} {want.zone} {want.spot}")
         names = list(got.machines)
-        ops = c.settings.cluster.state.txn_ops - 1
+        ops = max(1, c.batch - 1)
         if len(names) < want.count:
             t = c.types.get(want.type)
             self.refused[(want.type, want.zone, want.spot)] = c.now + 0.5 * (
@@ -578,7 +587,7 @@
             if m is not None:
                 part.forget_tasks(m, now)
             c.view.gone[n] = None
-        ops = c.settings.cluster.state.txn_ops
+        ops = c.batch
         while names and c.parts.get(part.number) is part:
             drop = [keys.MACHINES + n for n in names[:ops]]
             commit = Commit([c.fence(part.number)], [], drop, FINAL)
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -68,7 +68,7 @@
     of slices grows with the load, the state service's rate does not. What is finished and not
     written yet is kept by its worker, which is told to forget it only afterwards."""
     state = c.settings.cluster.state
-    ops = state.txn_ops
+    ops = c.batch
     rate = SHARE * state.write_rps / len(c.settings.nodes)
     spent = 0
     mask = (1 << PAGE) - 1
