No record outgrows a value: descriptions, slices and the split are checked

Now the first is refused with 422 on every node, a migration that would outgrow the record is declined, and settings whose split does not fit are refused with the field's name.

--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -266,6 +266,8 @@
             take.append(i)
             if p.owner:
                 guards.append((key, c.view.version(key)))
+        # Each part taken is a change of its fence besides that of the split.
+        take = take[: c.settings.cluster.state.txn_ops - 1]
         if take:
             self._taking = True
             c.spawn(self._take(take, guards))
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -27,7 +27,7 @@
 from marblestair.core.flow import Flow, Step
 from marblestair.core.manager import ServerManager
 from marblestair.core.migrate import reserve
-from marblestair.core.model import GANG, JobRecord, JobSpec
+from marblestair.core.model import DESCRIPTION, GANG, JobRecord, JobSpec, too_large
 from marblestair.core.part import Part
 from marblestair.core.placement import gang_fits
 from marblestair.core.shares import refusal
@@ -108,6 +108,9 @@
         if not c.types:
             return 503, UNKNOWN, "machine types are not known yet", 1
         reason = refusal(spec, c.teams, list(c.types.values()))
+        value_kb = c.settings.cluster.state.value_kb
+        if reason is None and too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION):
+            reason = "the description is larger than what can be kept"
         if reason is not None:
             state = yield from self._lookup(job)
             if state is None:
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -18,7 +18,7 @@
 from marblestair.core.calls import FINAL, SPLIT, Commit, PeerCall, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
 from marblestair.core.manager import LOG_OFF, STAY
-from marblestair.core.model import GANG, JobSpec
+from marblestair.core.model import GANG, RECORD, JobSpec, too_large
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.placement import allowed, gang_fits, place_room, room, rooms_for
 from marblestair.core.ranges import Ranges
@@ -424,6 +424,9 @@
             slices[str(source)] = [list(r) for r in held.items]
         complete = [p for p in rec.complete if p not in (source, target)]
         new = msgspec.structs.replace(rec, slices=slices, complete=complete)
+        if too_large(new, c.settings.cluster.state.value_kb, RECORD):
+            # So many small ranges would outgrow the record; the source keeps its tasks.
+            return False
         key = keys.JOBS + job
         version = c.view.version(key)
         # The source's fence too: were the part taken over meanwhile, its new owner may have
--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -150,6 +150,15 @@
         return any(c[0] == "cancel" for c in self.changes)
 
 
+#: share of a value that a job's description may take, and the whole record with its slices
+DESCRIPTION, RECORD = 0.6, 0.95
+
+
+def too_large(rec: JobRecord, value_kb: float, share: float) -> bool:
+    """Whether a record takes more than a share of what the state service keeps in one value."""
+    return len(msgspec.msgpack.encode(rec)) > share * value_kb * 1024
+
+
 def finite(*values: float | None) -> bool:
     """Whether every number is finite and not negative."""
     return all(v is None or (math.isfinite(v) and v >= 0) for v in values)
--- a/marblestair/settings.py
+++ b/marblestair/settings.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+#: the least changes in one transaction: a part's takeover takes two, a job's end two
+MIN_OPS = 3
+#: parts beyond this are a mistake in the file
+MAX_PARTS = 100
+
 
 class SettingsError(Exception):
     """A settings file that cannot be used; the text is one line and names the field."""
@@ -165,6 +170,10 @@
     ):
         if not (math.isfinite(value) and value >= 0):
             raise SettingsError(f"{name}: must be a number of 0 or more")
+    if c.state.txn_ops < MIN_OPS:
+        raise SettingsError(f"cluster.state.txn_ops: must be at least {MIN_OPS}")
+    if c.workers.lease_s < 2 * c.workers.report_s:
+        raise SettingsError("cluster.workers.lease_s: must be at least twice report_s")
     seen: set[str] = set()
     for i, t in enumerate(c.teams):
         if t.name in seen:
@@ -174,6 +183,29 @@
             v = getattr(t, field)
             if not (math.isfinite(v) and v >= 0):
                 raise SettingsError(f"cluster.teams[{i}].{field}: must be a number of 0 or more")
+    _check_split(s)
+
+
+def _check_split(s: Settings) -> None:
+    """The split record is one value: parts and teams must fit into it."""
+    from marblestair.core import split
+
+    c = s.cluster
+    if c.size > MAX_PARTS:
+        raise SettingsError(f"cluster.size: must be at most {MAX_PARTS}")
+    record = split.first(c.size, c.teams)
+    for p in record.parts:
+        p.owner, p.incarnation = max(s.nodes, key=len), 1 << 56
+        p.term = p.taken = 1 << 32
+        # A part's share may come to be the whole of a limit.
+        for share in p.shares.values():
+            share[:] = [1 << 40, 1 << 40]
+    size = len(msgspec.msgpack.encode(record))
+    if size > c.state.value_kb * 1024:
+        raise SettingsError(
+            f"cluster.teams: with {c.size} parts they take {size} bytes of state, more than"
+            " cluster.state.value_kb allows"
+        )
 
 
 def parse(data: dict[str, Any]) -> Settings:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -250,3 +250,32 @@
         return ["refused" if not await b.take(0, 0) else "served"]
 
     assert asyncio.run(story()) == ["refused"]
+
+
+@pytest.mark.parametrize(
+    ("field", "changes"),
+    [
+        ("cluster.size", {"size": 5000}),
+        (
+            "cluster.teams",
+            {"teams": [{"name": f"team-{i}", "cpus": 1.0, "cpus_max": 2.0} for i in range(400)]},
+        ),
+        ("cluster.state.txn_ops", {"state": dict(rps=9.0, write_rps=9.0, value_kb=4.0, txn_ops=1)}),
+        (
+            "cluster.workers.lease_s",
+            {
+                "workers": dict(
+                    report_s=5.0, lease_s=6.0, gang_wait_s=9.0, gang_peer_s=5.0, cancel_s=30.0
+                )
+            },
+        ),
+    ],
+)
+def test_settings_that_cannot_work_are_refused_with_their_field(
+    field: str, changes: dict[str, Any]
+) -> None:
+    from marblestair.settings import SettingsError
+    from tests.fakes.world import settings
+
+    with pytest.raises(SettingsError, match=field.replace(".", r"\.")):
+        settings(0, 3, **changes)
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -169,3 +169,38 @@
         w.kill("n0", back_after=2.0)
         assert all(w.finish(j, 200.0) for j in jobs), nodes
         assert not w.broken and not w.state.refused
+
+
+def test_no_record_outgrows_a_value() -> None:
+    state = dict(rps=100.0, write_rps=40.0, value_kb=0.5, txn_ops=8)
+    w = World(10, state=state)
+    w.run(4.0)
+    # A description that leaves no room for the slices is refused for good, on every node.
+    long = spec(1, types=[f"type-{i:04d}-{'x' * 20}" for i in range(40)] + ["t8"])
+    w.specs[long.id] = long
+    for x in w.node_names:
+        out = w.ask(x, "submit", long)
+        assert w.until(lambda o=out: bool(o), 5.0)
+        assert out[0].status == 422 and "larger" in out[0].error
+    # Slices that go to and fro in small ranges stop before the record is too large.
+    w.capacity = 1
+    job = w.submit(spec(2, tasks=400, estimate_s=30.0))
+    core, part = next((c, p) for c in w.cores.values() if c for p in c.acting() if job in p.slices)
+    target = next(i for i in range(3) if i != part.number)
+    for _ in range(150):
+        s = part.slices.get(job)
+        if s is None or len(s.pending) < 10:
+            break
+        if s.leaving:
+            w.run(0.5)
+            continue
+        a, b = max(s.pending.items, key=lambda r: r[1] - r[0])
+        w.set_time(core)
+        if b - a > 1 and core.migrations.under_way < 4:
+            core.migrations.start(part, s, [[a + 1, a + 2]], target)
+        w.flush(core.node)
+        w.run(0.6)
+    assert not w.state.refused and w.state.largest <= 512
+    w.capacity = 12
+    assert w.finish(job, 1500.0)
+    assert not w.broken
