--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -440,9 +440,7 @@
         usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
         least = min(s.need[0] for s in waiting)
         most = max((m.free[0] for m in usable), default=-1)
-        if most < least and not any(
-            s.spec.kind == GANG or s.spec.id in self.guaranteed for s in waiting
-        ):
+        if most < least and not any(s.spec.kind == GANG for s in waiting):
             return
         order = self.ordered(part)
         old = [s for s in order if wall - s.spec.at > BOUND_S]
@@ -453,19 +451,16 @@
         for s in order:
             if s.suspect or now < s.not_before:
                 continue
-            promised = s.spec.id in self.guaranteed
-            if s.spec.kind != GANG and most < s.need[0] and not promised:
+            if s.spec.kind != GANG and most < s.need[0]:
                 continue
             share = self.share(part, s.spec.team)
             h = held.get(s.spec.team)
             if h is not None:
                 share = (share[0] - h[0], share[1] - h[1])
             if s.spec.kind != GANG:
-                hurry = HURRY if promised else 1.0
+                hurry = HURRY if s.spec.id in self.guaranteed else 1.0
                 if place_array(part, s, share, usable, now, self.rng, keep, drain, hurry):
                     most = max((m.free[0] for m in usable), default=-1)
-                if s.pending.count and s.spec.id in self.guaranteed:
-                    self.preemption.keep_promise(part, s, share)
             elif place_gang(part, s, share, now, self.preemption.claimed):
                 self.log(
                     "info",
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -50,6 +50,8 @@
 MAX_RELEASE = 100
 #: a class's rate of arrival is taken over this many seconds, or its latest jobs if they are more
 RATE_S, RATE_JOBS = 90.0, 64
+#: a part that was not heard for this many of the workers' leases is left out of the plan
+HEARD_LEASES = 1.5
 #: machines in one rental
 MAX_RENT = 8
 
@@ -72,8 +74,6 @@
         self.hopeless: set[str] = set()
         #: gang classes that come, and when their latest jobs did
         self.classes: dict[str, Coming] = {}
-        #: cpus that each team runs beyond its guarantee; negative below it
-        self.excess: dict[str, float] = {}
         self._arrived: dict[str, deque[float]] = {}
         #: usual size of an array job within its guarantee, in cpus
         self.usual = 0.0
@@ -268,7 +268,10 @@
         running: set[str] = set()
         in_use: dict[str, int] = {}
         at: dict[str, int] = {}
-        fresh = {i for i, (t, _) in c.gossip.items() if c.now - t <= 5.0}
+        # Through a takeover what was last told of a part still tells most; only of one that has
+        # not been heard for longer are neither the work nor the machines counted.
+        limit = HEARD_LEASES * c.settings.cluster.workers.lease_s
+        fresh = {i for i, (t, _) in c.gossip.items() if c.now - t <= limit}
         for i in sorted(fresh):
             t, g = c.gossip[i]
             for job, n, r in g.waiting:
@@ -308,7 +311,6 @@
         machines = []
         for name, known in c.view.machines.items():
             kind = c.types.get(known.type)
-            # Of a part whose owner is not heard, neither the work nor the machines are counted.
             if kind is not None and name not in used and known.part in fresh:
                 age = c.wall - known.since
                 idle_s = idle.get(name, -1.0)
@@ -326,13 +328,6 @@
                         known.part,
                     )
                 )
-        # What each team runs beyond its guarantee.
-        self.excess = {t: -team.cpus for t, team in c.teams.items()}
-        for rec in live:
-            _, r = pending.get(rec.spec.id, [0, 0])
-            self.excess[rec.spec.team] = self.excess.get(rec.spec.team, 0.0) + r * rec.spec.cpus
-        # Each part may stop its share of that.
-        self.excess = {t: x / max(1, len(fresh)) for t, x in self.excess.items()}
         self._note_classes(live)
         out = plan(
             loads,
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -208,8 +208,6 @@
         self.version = 0
         self.stopping_gang = False
         self.waiting_since = 0.0
-        #: not before this does it stop others' work for its team's guarantee
-        self.promise_after = -1e9
         #: task numbers dropped here for a migration whose commit is not known yet
         self.leaving: list[list[int]] = []
         #: the migration that dropped them: an earlier one must not restore them
--- a/marblestair/core/preempt.py
+++ b/marblestair/core/preempt.py
@@ -8,21 +8,15 @@
 
 from typing import TYPE_CHECKING
 
-from marblestair.core.model import GANG, PRIORITIES, UNIT, JobSpec
+from marblestair.core.model import PRIORITIES, JobSpec
 from marblestair.core.part import Machine, Part, Placed, Slice
-from marblestair.core.placement import Room, allowed, room, rooms_for, within_share
+from marblestair.core.placement import Room, allowed, room
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
 
 #: a claim lapses after this many report intervals: what was to be stopped has not gone
 CLAIM_REPORTS = 6.0
-#: why a task was stopped for work within a guarantee
-PROMISED = "guarantee"
-#: how often at most an array within its guarantee looks for what to stop, in report intervals
-PROMISE_REPORTS = 0.4
-#: a second of fetching weighs as much as this many seconds of lost work
-HURRY_FETCH = 4.0
 
 
 class Preemption:
@@ -52,82 +46,15 @@
             if not waits or c.now > until:
                 del self.claims[name]
 
-    def _victims(
-        self, part: Part, m: Machine, level: int, promised: str | None = None
-    ) -> list[Placed]:
-        """What may be stopped on a machine for work of a priority, or of a team (``promised``)
-        that is within its guarantee."""
+    def _victims(self, part: Part, m: Machine, level: int) -> list[Placed]:
+        """What may be stopped on a machine for work of a priority."""
         out = []
         for p in m.placed.values():
             s = part.slices.get(p.job)
-            lower = s is None or PRIORITIES[s.spec.priority] < level
-            if lower or (s is not None and promised is not None and self._beyond(s, promised)):
+            if s is None or PRIORITIES[s.spec.priority] < level:
                 out.append(p)
         return out
 
-    def _beyond(self, s: Slice, team: str) -> bool:
-        """Whether a slice is work that another team runs beyond its guarantee. Gangs are left
-        alone: too much is lost with them."""
-        spec = s.spec
-        return (
-            spec.team != team
-            and spec.kind != GANG
-            and spec.id not in self.c.guaranteed
-            and self.c.fleet.excess.get(spec.team, 0.0) > 0
-        )
-
-    def keep_promise(self, part: Part, s: Slice, share: tuple[int, int]) -> None:
-        """An array within its team's guarantee that finds no room stops what other teams run
-        beyond theirs: where its image is soonest there, and what has run least."""
-        c = self.c
-        if c.now < s.promise_after or s.need[0] <= 0:
-            return
-        s.promise_after = c.now + PROMISE_REPORTS * c.settings.cluster.workers.report_s
-        stopping = sum(
-            p.why_stop == PROMISED for m in part.machines.values() for p in m.placed.values()
-        )
-        n = min(len(s.pending), within_share(part, s, share)) - stopping
-        for t, g in c.gossip.values():
-            # What has room in another part moves there.
-            if n > 0 and g.part != part.number and c.now - t < 1.5:
-                n -= sum(rooms_for(s.spec, s.need, g.rooms).values())
-        if n <= 0:
-            return
-        level = PRIORITIES[s.spec.priority]
-        found: list[tuple[float, str, int, Placed]] = []
-        for m in part.machines.values():
-            if m.type is None or not m.usable(c.now) or self.claimed(m):
-                continue
-            if not allowed(s.spec, m):
-                continue
-            fetch = 0.0
-            if s.spec.image not in m.images:
-                fetch = s.spec.image_gb / max(m.type.fetch_gb_per_s, 1e-6)
-            for p in self._victims(part, m, level, s.spec.team):
-                if p.grace is None and p.state != "planned":
-                    ran = c.now - p.run_since if p.run_since is not None else 0.0
-                    found.append((HURRY_FETCH * fetch + ran, p.job, p.index, p))
-        room: dict[str, float] = {}
-        out = []
-        freed = 0
-        for *_, p in sorted(found, key=lambda x: x[:3]):
-            if freed >= n * s.need[0]:
-                break
-            left = room.setdefault(p.team, c.fleet.excess.get(p.team, 0.0) * UNIT)
-            if left < p.need[0]:
-                continue
-            room[p.team] = left - p.need[0]
-            freed += p.need[0]
-            out.append(p)
-        if out:
-            for p in out:
-                c.fleet.excess[p.team] -= p.need[0] / UNIT
-            part.stop(out, PROMISED)
-            c.log(
-                "info",
-                f"part {part.number} stops {len(out)} tasks beyond guarantees for {s.spec.id}",
-            )
-
     def _without(self, m: Machine, victims: list[Placed], need: tuple[int, int, int]) -> int:
         """How many tasks fit once the victims are gone."""
         n = 1 << 30
@@ -170,7 +97,6 @@
         if any(claim[0] == job for claim in self.claims.values()):
             return True
         level = PRIORITIES[s.spec.priority]
-        promised = s.spec.team if job in c.guaranteed else None
         options: list[tuple[float, str, int, list[Placed]]] = []
         for m in part.machines.values():
             if not m.usable(now) or self.claimed(m, job) or not allowed(s.spec, m):
@@ -179,7 +105,7 @@
             if free:
                 options.append((0.0, m.name, free, []))
                 continue
-            victims = self._victims(part, m, level, promised)
+            victims = self._victims(part, m, level)
             fits = self._without(m, victims, s.need)
             if not fits or any(p.grace is not None for p in m.placed.values()):
                 continue
