Nearly empty machines beyond the need are emptied and given back

Ruled out: idle machines not being released. Now a machine beyond the need is emptied if that loses less work than its free room would cost until its longest task ends; the tasks run again in their part.

--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -37,6 +37,7 @@
     Tuning,
     Want,
     broken,
+    hollow,
     kinds,
     plan,
 )
@@ -234,6 +235,10 @@
             gone = broken(part, c.settings.cluster.workers.lease_s, now)
             plan = self._plan() if not part.suspects else Plan([], [])
             gone += [n for n in plan.release if n in part.machines and n not in gone]
+            for m in hollow(part, plan.empty, now)[:1]:
+                m.draining = m.returning = True
+                part.stop(list(m.placed.values()), "returned")
+                c.log("info", f"emptying {m.name}: {len(m.placed)} tasks run again elsewhere")
             leaving = [m for n in gone if not (m := part.machines[n]).releasing]
             if leaving:
                 yield from self._release(part, leaving[:MAX_RELEASE])
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -114,6 +114,8 @@
         #: tasks listed that this part knows nothing of; they are stopped
         self.strays: dict[Key, int] = {}
         self.draining = False
+        #: what it ran was stopped so that it can be given back
+        self.returning = False
         #: no more 200 answers: its lease is to run out, and the cloud is to take it
         self.condemned = False
         self.releasing = False
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -18,8 +18,12 @@
 import msgspec
 
 from marblestair.core.model import GANG, PRIORITIES, JobSpec, MachineType
-from marblestair.core.part import Part
+from marblestair.core.part import Machine, Part
 
+#: a rental costs at least a minute; nothing is given back before
+LEAST_AGE_S = 58.0
+#: work lost by emptying a machine, against the room that would stand free meanwhile
+HOLLOW = 0.5
 #: boots longer than this many times the usual are given up
 BOOT_PATIENCE = 3.0
 
@@ -176,6 +180,8 @@
     capacity: float = 0.0
     #: machines that are to fall idle
     drain: set[str] = set()
+    #: those of them that nothing is kept for
+    empty: set[str] = set()
     #: machines set aside for gangs: the job that waits for it, or "" for one that is expected
     reserved: dict[str, str] = {}
 
@@ -359,13 +365,14 @@
         if m.name not in used and over >= m.type.cpus:
             over -= m.type.cpus
             out.drain.add(m.name)
+            out.empty.add(m.name)
 
     # Give back idle machines that neither the arrays nor a waiting gang needs, dearest first.
     spare_cpus = out.capacity - target
     idle = [m for m in machines if m.idle >= 0 and m.name not in used]
     idle.sort(key=lambda m: (m.spot, -(m.type.price / max(m.type.cpus, 1.0)), m.name))
     for m in idle:
-        if m.age < 58.0 or m.idle < tuning.idle_boots * m.type.boot_s:
+        if m.age < LEAST_AGE_S or m.idle < tuning.idle_boots * m.type.boot_s:
             continue
         if spare_cpus >= m.type.cpus * tuning.keep or not arrays:
             spare_cpus -= m.type.cpus
@@ -373,6 +380,43 @@
     return out
 
 
+def hollow(part: Part, names: set[str], now: float) -> list[Machine]:
+    """Machines among those that are to fall idle that are so nearly empty that stopping what they
+    still run, to run it again elsewhere, loses less than waiting for its end."""
+    out: list[tuple[float, str, Machine]] = []
+    room = 0
+    for m in part.machines.values():
+        if m.usable(now) and m.name not in names:
+            room += m.free[0]
+    for name in names:
+        found = part.machines.get(name)
+        if found is None or found.type is None or not found.usable(now) or not found.placed:
+            continue
+        if now - found.added < LEAST_AGE_S or any(
+            p.grace is not None or p.state != "running" for p in found.placed.values()
+        ):
+            continue
+        lost = left = 0.0
+        for p in found.placed.values():
+            s = part.slices.get(p.job)
+            if s is None or s.spec.kind == GANG or s.cancelled or p.run_since is None:
+                break
+            ran = now - p.run_since
+            lost += p.need[0] * ran
+            # What has run long already is as likely as not to run as long again.
+            left = max(left, s.spec.estimate_s - ran, 0.5 * ran)
+        else:
+            if lost < HOLLOW * found.free[0] * left:
+                out.append((lost, name, found))
+    chosen = []
+    for _, _, m in sorted(out, key=lambda x: x[:2]):
+        used = (m.type.size[0] if m.type is not None else 0) - m.free[0]
+        if used <= room:
+            room -= used
+            chosen.append(m)
+    return chosen
+
+
 def broken(part: Part, lease_s: float, now: float) -> list[str]:
     """Machines to give back because they do not serve: never up, silent, condemned, faulty."""
     out = []
@@ -392,6 +436,7 @@
             not m.placed or (now > m.notice_at + 1.0 and now - m.seen > 0.25 * lease_s)
         )
         deaf = m.deaf and not m.silent and alone and now - m.deaf_since > 1.5 * lease_s
-        if late or lost or deaf or m.condemned or faulty or taken:
+        emptied = m.returning and not m.placed
+        if emptied or late or lost or deaf or m.condemned or faulty or taken:
             out.append(m.name)
     return out
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -10,6 +10,8 @@
 
 from marblestair.core.controller import Controller
 from marblestair.core.model import MachineType
+from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.renting import hollow
 from tests.fakes.world import World, spec
 
 LARGE = [
@@ -204,3 +206,36 @@
     w.capacity = 12
     assert w.finish(job, 1500.0)
     assert not w.broken
+
+
+def test_a_nearly_empty_machine_beyond_the_need_is_emptied_for_its_return() -> None:
+    """Found on a simulated steady day: when the need fell, one long task after another kept
+    machines that were otherwise free for over a hundred seconds."""
+    cluster = World(1).settings[0].cluster
+    part = Part(0, 5, cluster, 0.0)
+    kind = LARGE[0]
+
+    def machine(name: str, tasks: int, ran: float, job: str) -> Machine:
+        m = Machine(name, kind.name, "a", False, 0.0)
+        m.set_type(kind)
+        part.add_machine(m)
+        m.settled, m.seen = True, 100.0
+        s = part.slices[job] = Slice(spec(int(job[4:]), tasks=tasks, estimate_s=60.0))
+        s.ranges = [[0, tasks]]
+        for i in range(tasks):
+            part.launch(m, s, i, 1, 100.0 - ran)
+            p = m.placed[(job, i)]
+            p.state, p.run_since = "running", 100.0 - ran
+        return m
+
+    few = machine("host-1", 1, 20.0, "job-000001")
+    many = machine("host-2", 14, 50.0, "job-000002")
+    other = machine("host-3", 2, 20.0, "job-000003")
+    names = {"host-1", "host-2"}
+    assert hollow(part, names, 100.0) == [few]
+    # Not where the tasks would find no room, nor before the least rental is over.
+    assert hollow(part, {"host-1", "host-2", "host-3"}, 100.0) == []
+    assert hollow(part, names, 50.0) == []
+    part.stop(list(few.placed.values()), "returned")
+    assert hollow(part, names, 100.0) == []
+    assert many.placed and other.placed
