Emptying waits for two boot times beyond the need; a smaller first helping

Now a machine must have been beyond the need for two of its boot times. Late work that has not begun gets a sixteenth of its tasks at first instead of an eighth.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -39,7 +39,7 @@
 #: share of a team's room for what has waited for so long
 OLD_SHARE = 0.25
 #: a slice that has not begun gets this part of its tasks at first
-FIRST = 8
+FIRST = 16
 #: weight of the image's fetch where a job is within its team's guarantee
 HURRY = 3.0
 
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -53,6 +53,9 @@
 RATE_S, RATE_JOBS = 90.0, 64
 #: a part that was not heard for this many of the workers' leases is left out of the plan
 HEARD_LEASES = 1.5
+#: only what has been beyond the need for this many of its boot times is emptied: need that comes
+#: back sooner would have to wait for boots
+EMPTY_BOOTS = 2.0
 #: machines in one rental
 MAX_RENT = 8
 
@@ -75,6 +78,8 @@
         self.hopeless: set[str] = set()
         #: gang classes that come, and when their latest jobs did
         self.classes: dict[str, Coming] = {}
+        #: machines beyond the need, and since when without a break
+        self._over: dict[str, float] = {}
         self._arrived: dict[str, deque[float]] = {}
         #: usual size of an array job within its guarantee, in cpus
         self.usual = 0.0
@@ -235,7 +240,15 @@
             gone = broken(part, c.settings.cluster.workers.lease_s, now)
             plan = self._plan() if not part.suspects else Plan([], [])
             gone += [n for n in plan.release if n in part.machines and n not in gone]
-            for m in hollow(part, plan.empty, now)[:1]:
+            self._over = {n: self._over.get(n, now) for n in plan.empty}
+            long = {
+                n
+                for n, since in self._over.items()
+                if (m := part.machines.get(n)) is not None
+                and m.type is not None
+                and now - since > EMPTY_BOOTS * m.type.boot_s
+            }
+            for m in hollow(part, long, now)[:1]:
                 m.draining = m.returning = True
                 part.stop(list(m.placed.values()), "returned")
                 c.log("info", f"emptying {m.name}: {len(m.placed)} tasks run again elsewhere")
