Machines that move to a gang's part stay in the plan

While they moved, owners told them as leaving, so the plan lacked them. They are told as neither idle nor leaving now, with a story.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -585,8 +585,13 @@
         ]
         busy, idle, gangs, leaving = [], [], [], []
         for m in p.machines.values():
-            if m.releasing or m.condemned or m.draining or m.silent or m.notice_at is not None:
+            gone = m.releasing or m.condemned or m.returning
+            if gone or m.silent or m.deaf or m.notice_at is not None:
                 leaving.append(m.name)
+            elif m.draining:
+                # On its way to a gang's part: neither idle nor lost to the plan, which would rent
+                # once more what is there already.
+                continue
             elif m.settled and m.idle_since is not None and not m.placed and not m.strays:
                 idle.append((m.name, round(self.now - m.idle_since, 2)))
             elif any(job in p.slices and p.slices[job].spec.kind == GANG for job, _ in m.placed):
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -239,3 +239,21 @@
     part.stop(list(few.placed.values()), "returned")
     assert hollow(part, names, 100.0) == []
     assert many.placed and other.placed
+
+
+def test_machines_on_their_way_to_a_gang_are_not_rented_once_more() -> None:
+    """Found on simulated rough days: while machines moved to a gang's part the plan missed them."""
+    w = fleet(12, 3, 40, 300.0)
+    job = w.submit(spec(1, kind="gang", tasks=4, cpus=30.0, mem_gb=20.0, estimate_s=30.0))
+    w.run(12.0)
+    core, part = next((c, p) for c in w.cores.values() if c for p in c.acting() if p.machines)
+    m = next(iter(part.machines.values()))
+    m.draining = True
+    told = core.measure(part)
+    assert m.name not in told.leaving and m.name not in [n for n, _ in told.idle]
+    m.returning = True
+    assert m.name in core.measure(part).leaving
+    m.draining = m.returning = False
+    assert w.finish(job, 90.0)
+    assert sum(x.type.name == "m32" for x in w.workers.values()) == 4
+    assert not w.broken
