--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -304,21 +304,27 @@
             used.update(g.leaving)
         loads = []
         room: dict[str, float] = {t: team.cpus_max for t, team in c.teams.items()}
+        # What arrays hold of a limit comes free for a gang before long.
+        gang_room = dict(room)
         live = sorted(c.view.jobs.values(), key=lambda r: (r.spec.at, r.spec.id))
         for rec in live:
             spec = rec.spec
             n, r = pending.get(spec.id, [0, 0])
             room[spec.team] = room.get(spec.team, 0.0) - r * spec.cpus
+            if spec.kind == GANG:
+                gang_room[spec.team] = gang_room.get(spec.team, 0.0) - r * spec.cpus
         for rec in live:
             spec = rec.spec
             n, r = pending.get(spec.id, [0, 0])
             if rec.cancelled or not n + r:
                 continue
             # More than the team's limit cannot run at once, whatever is rented.
-            wide = max(0, min(n, int(room[spec.team] // spec.cpus) if spec.cpus else n))
+            left = gang_room if spec.kind == GANG else room
+            wide = max(0, min(n, int(left[spec.team] // spec.cpus) if spec.cpus else n))
             if spec.kind == GANG:
                 n = 0 if wide < spec.tasks and not r else wide
             room[spec.team] -= wide * spec.cpus
+            gang_room[spec.team] -= wide * spec.cpus if spec.kind == GANG else 0.0
             run_s = max(1.0, spec.estimate_s * c.factor.get(spec.cls, 1.0))
             passed = c.wall - spec.at
             if spec.deadline_s is not None:
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -162,6 +162,10 @@
         used, share = part.usage(team), c.share(part, team)
         if not any(u < x for u, x in zip(used, share, strict=True)):
             return
+        if s.spec.kind != GANG:
+            share = (share[0] - c.jobs.kept(part, team), share[1])
+            if share[0] <= used[0]:
+                return
         here = place_room(part, s.spec, c.now)
         for g in others:
             fits = _fits(known, g, s.spec, need)
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from marblestair.core import keys
 from marblestair.core.controller import Controller
 from marblestair.core.model import MachineType
 from marblestair.core.part import Machine, Part, Slice
@@ -257,3 +258,21 @@
     assert w.finish(job, 90.0)
     assert sum(x.type.name == "m32" for x in w.workers.values()) == 4
     assert not w.broken
+
+
+def test_a_teams_limit_follows_its_work_from_part_to_part() -> None:
+    """Found on a simulated steady day: every part's share of a team's limit was in use all the
+    time, so none was ever free to give; a gang larger than its part's share waited for 450 s."""
+    w = World(13)
+    w.run(4.0)
+    arrays = [w.submit(spec(n, team="blue", tasks=150, estimate_s=4.0)) for n in (1, 2)]
+    assert w.until(lambda: len(w.starts) >= 30, 60.0)
+    asked = w.now
+    gang = w.submit(
+        spec(3, kind="gang", team="blue", tasks=1, cpus=6.0, estimate_s=5.0, priority="high")
+    )
+    assert w.until(lambda: any(j == gang for _, j, *_ in w.starts), 40.0), w.now - asked
+    assert all(w.finish(j, 500.0) for j in (*arrays, gang))
+    split = w.state.data[keys.SPLIT][0]
+    assert sum(p[3]["blue"][0] for p in split[1]) == 12_000_000
+    assert not w.broken
