--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -341,6 +341,8 @@
         self.starts: list[tuple[float, str, int, str, int]] = []
         #: share of state calls whose answer is lost although they are carried out
         self.lose_answers = 0.0
+        #: usual time that the state service takes over an operation, when it is slow
+        self.state_slow = 0.0
         #: share of reports of which a copy comes late, from seconds to several leases
         self.copies = 0.0
         #: share of commits that are carried out only after a while, unanswered
@@ -554,6 +556,9 @@
 
         if frozenset((name, "state")) in self.cut:
             self.at(0.3, lambda: answer(StateResult(NOT_SENT)))
+        elif self.state_slow:
+            late = self.rng.uniform(0.5, 1.5) * self.state_slow
+            self.at(late, lambda: self.send(name, "state", execute))
         else:
             self.send(name, "state", execute)
 
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -444,3 +444,27 @@
             assert w.finish(job, 400.0), job
     w.run(w.cancel_s)
     assert not w.broken
+
+
+def test_a_zone_cut_off_a_slow_state_service_and_all_nodes_crashing_in_the_middle() -> None:
+    w = warm(91)
+    jobs = [w.submit(spec(n, tasks=9, estimate_s=15.0)) for n in range(1, 5)]
+    w.run(10.0)
+    # Half of the machines cannot reach any controller, and the state service takes 0.3 s.
+    for m in busy(w)[::2]:
+        w.isolate(m.name, *w.node_names)
+    w.state_slow = 0.3
+    w.run(8.0)
+    jobs.append(w.submit(spec(5, tasks=6, estimate_s=5.0)))
+    for x in w.node_names:
+        w.kill(x, back_after=w.rng.uniform(0.1, 3.0))
+    w.run(12.0)
+    # Slow as it is, parts have owners, and users are served.
+    assert all(c is not None and c.acting() for c in w.cores.values())
+    jobs.append(w.submit(spec(6, tasks=6, estimate_s=5.0)))
+    assert not w.broken
+    w.heal()
+    w.state_slow = 0.0
+    assert not w.unanswered()
+    assert all(w.finish(j, 200.0) for j in jobs)
+    assert not w.broken
