Stories for two guards that had none: a cancel by the record, and machines set aside

Each fails when its guard is taken out: the wait until no owner on an older view can act, and machines set aside for one gang being no room for another.

--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -468,3 +468,24 @@
     assert not w.unanswered()
     assert all(w.finish(j, 200.0) for j in jobs)
     assert not w.broken
+
+
+def test_a_cancel_by_the_record_waits_for_an_owner_that_may_still_act() -> None:
+    w = warm(72)
+    core = w.cores["n0"]
+    assert core is not None
+    job = w.submit(spec(1, tasks=12, estimate_s=120.0), "n0")
+    w.run(14.0)
+    # n0 still answers its workers while its lease lasts, and cannot see the entry.
+    w.isolate("n0", "state", "n1", "n2")
+    w.cancel_asked.add(job)
+    outs: list[list[Any]] = []
+    while not any(o and o[0].status == 200 for o in outs):
+        assert len(outs) < 200
+        outs.append(w.ask("n1", "cancel", job))
+        w.run(0.25)
+        if any(o and o[0].status == 200 for o in outs):
+            assert not core.acting()
+    w.heal()
+    w.run(w.cancel_s + 2.0)
+    assert not w.broken
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -277,3 +277,30 @@
     split = w.state.data[keys.SPLIT][0]
     assert sum(p[3]["blue"][0] for p in split[1]) == 12_000_000
     assert not w.broken
+
+
+def test_a_machine_set_aside_for_one_gang_is_no_room_for_another() -> None:
+    w = fleet(14, 3, 9, 300.0)
+    held = w.submit(spec(1, kind="gang", tasks=1, cpus=30.0, mem_gb=20.0, estimate_s=4.0))
+    assert w.finish(held, 60.0)
+    older = w.submit(spec(2, tasks=8, estimate_s=60.0))
+    w.run(12.0)
+    core, part, m = next(
+        (c, p, m)
+        for c in w.cores.values()
+        if c is not None
+        for p in c.acting()
+        for m in p.machines.values()
+        if m.usable(c.now) and m.free[0] > 0
+    )
+    w.set_time(core)
+    core.fleet.reserved = {m.name: older}
+    free = m.free[0]
+    rooms = core.measure(part).rooms
+    assert core.preemption.claimed(m, "job-000003") and not core.preemption.claimed(m, older)
+    core.fleet.reserved = {}
+    # Told to the others, too, only once it is nobody's.
+    now = core.measure(part).rooms
+    assert len(now) == len(rooms) + 1 and free in [r[3] for r in now]
+    assert w.finish(older, 200.0)
+    assert not w.broken
