--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container
 from functools import partial
 from typing import Any
 
@@ -17,32 +16,19 @@
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
+from marblestair.core.dispatch import Dispatch
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
 from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
-from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.placement import place_array, place_gang
+from marblestair.core.part import Machine, Part
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
-from marblestair.core.shares import order_key, within_guarantee
+from marblestair.core.shares import within_guarantee
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
-#: the largest jobs, too, are to begin within this time of the users' rules; work that has waited
-#: for the second as long is helped ahead of everything else
-BEGIN_S = 240.0
-BOUND_S = 0.4 * BEGIN_S
-#: work older than this is not only to begin but to go on
-OLD_S = 2 * BEGIN_S
-#: share of a team's room for what has waited for so long
-OLD_SHARE = 0.25
-#: a slice that has not begun gets this part of its tasks at first
-FIRST = 16
-#: weight of the image's fetch where a job is within its team's guarantee
-HURRY = 3.0
-
 
 class Reply(msgspec.Struct, frozen=True):
     """Final answer to a user's request."""
@@ -147,9 +133,9 @@
         self.migrations = Migrations(self)
         self.preemption = Preemption(self)
         self.byrecord = ByRecord(self)
+        self.dispatch = Dispatch(self)
         self._next_slow = now
         self._next_move = now
-        self._dirty_place = True
 
     # --- plumbing --------------------------------------------------------------------------
 
@@ -267,7 +253,6 @@
                         self._sync_slice(p, job)
                 self.jobs.changed(job)
             self.guaranteed = within_guarantee(v.jobs, self.teams)
-            self._dirty_place = True
 
     def _sync_parts(self) -> None:
         s = self.view.split
@@ -339,7 +324,6 @@
             if rec is None or rec.part != p.number:
                 if m is not None:
                     p.remove_machine(name, self.now)
-                    self._dirty_place = True
             elif m is None:
                 m = Machine(name, rec.type, rec.zone, rec.spot, self.now)
                 m.set_type(self.types.get(rec.type))
@@ -398,7 +382,7 @@
             self._learn(part)
         if m is not None and (m.settled != before or m.free != free):
             # Room has come up: fill it with this very answer rather than the next one.
-            self._place(part)
+            self.dispatch.place(part)
         if m is not None:
             orders += part.launches(m, now)
         return 200, part.term, orders, None
@@ -410,103 +394,6 @@
                 self.factor[spec.cls] = old + 0.02 * (min(5.0, ran / spec.estimate_s) - old)
         part.finished.clear()
 
-    # --- placement -------------------------------------------------------------------------
-
-    def ordered(self, part: Part) -> list[Slice]:
-        """The part's slices with pending tasks, in the order in which they are served."""
-        wall, f = self.wall, self.factor
-        waiting = [s for s in part.slices.values() if s.pending.count and not s.cancelled]
-        waiting.sort(
-            key=lambda s: order_key(
-                s.spec,
-                s.spec.id in self.guaranteed,
-                s.spec.id in self.fleet.hopeless,
-                wall + self.lead_s.get(s.spec.cls, 0.0),
-                f.get(s.spec.cls, 1.0),
-            )
-        )
-        return waiting
-
-    def _place(self, part: Part) -> None:
-        now, wall = self.now, self.wall
-        #: share that a gang further ahead waits for: what comes after it leaves that alone
-        held: dict[str, list[int]] = {}
-        keep, drain = self.fleet.reserved.keys(), self.fleet.drained
-        # Under load most calls find the part full: then there is nothing to go through.
-        waiting = [s for s in part.slices.values() if s.pending.count and not s.cancelled]
-        if not waiting:
-            return
-        claims = self.preemption.claims
-        usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
-        least = min(s.need[0] for s in waiting)
-        most = max((m.free[0] for m in usable), default=-1)
-        if most < least and not any(s.spec.kind == GANG for s in waiting):
-            return
-        order = self.ordered(part)
-        old = [s for s in order if wall - s.spec.at > BOUND_S]
-        if old:
-            self._help(part, old, usable, keep, drain)
-            gangs = [s for s in old if s.spec.kind == GANG]
-            order = [*gangs, *(s for s in order if s not in gangs)]
-        for s in order:
-            if s.suspect or now < s.not_before:
-                continue
-            if s.spec.kind != GANG and most < s.need[0]:
-                continue
-            share = self.share(part, s.spec.team)
-            h = held.get(s.spec.team)
-            if h is not None:
-                share = (share[0] - h[0], share[1] - h[1])
-            if s.spec.kind != GANG:
-                hurry = HURRY if s.spec.id in self.guaranteed else 1.0
-                if place_array(part, s, share, usable, now, self.rng, keep, drain, hurry):
-                    most = max((m.free[0] for m in usable), default=-1)
-            elif place_gang(part, s, share, now, self.preemption.claimed):
-                self.log(
-                    "info",
-                    f"part {part.number} starts {s.spec.id}: gang of {s.spec.cls},"
-                    f" {wall - s.spec.at:.1f} s after it was accepted",
-                )
-            elif not s.placed:
-                n = len(s.pending)
-                if h is None:
-                    h = held.setdefault(s.spec.team, [0, 0])
-                h[0] += n * s.need[0]
-                h[1] += n * s.need[1]
-                if self.fleet.hurried(s.spec):
-                    self.preemption.clear(part, s, share, True)
-
-    def _help(
-        self,
-        part: Part,
-        old: list[Slice],
-        usable: list[Machine],
-        keep: Container[str],
-        drain: set[str],
-    ) -> None:
-        """Work that has waited for long is not put off any further: of each team, what has not
-        begun gets a first helping, and what is older still a share of the team's room, ahead of
-        everything else."""
-        held: dict[str, int] = {}
-        for s in part.slices.values():
-            if s.placed and self.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
-                held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
-        begun = {s.spec.id: bool(s.placed or s.done_count) for s in old}
-        for s in sorted(old, key=lambda s: (begun[s.spec.id], s.spec.at, s.spec.id)):
-            if s.suspect or s.spec.kind == GANG or self.now < s.not_before:
-                continue
-            if begun[s.spec.id] and self.wall - s.spec.at < OLD_S:
-                continue
-            team, share = s.spec.team, self.share(part, s.spec.team)
-            most = int(OLD_SHARE * share[0]) - held.get(team, 0)
-            n = max(most // s.need[0] if s.need[0] else 1, 0 if held.get(team) else 1)
-            if not begun[s.spec.id]:
-                # Each begins before the oldest is done, if only with a few of its tasks.
-                n = max(1, min(n, s.size // FIRST))
-            if n > 0:
-                n = place_array(part, s, share, usable, self.now, self.rng, keep, drain, 1.0, n)
-                held[team] = held.get(team, 0) + n * s.need[0]
-
     # --- time ------------------------------------------------------------------------------
 
     def tick(self) -> None:
@@ -519,7 +406,7 @@
         self.preemption.tick()
         for p in acting:
             p.tick(now)
-            self._place(p)
+            self.dispatch.place(p)
             for m, orders in p.direct_stops(now):
                 self.commands.append(Command(m.addr, p.term, m.session, orders))
             self.fleet.guard_cancels(p)
@@ -598,7 +485,7 @@
                 gangs.append(m.name)
             elif m.type is not None and m.placed:
                 busy.append((m.name, m.type.size[0] - m.free[0]))
-        needs = [s.spec.id for s in self.ordered(p) if self.migrations.homeless(p, s)]
+        needs = [s.spec.id for s in self.dispatch.ordered(p) if self.migrations.homeless(p, s)]
         return Gossip(
             part=p.number,
             term=p.term,
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -110,7 +110,7 @@
             return
         #: how many tasks of a shape a part has room for: many jobs have the same shape
         known: dict[tuple[Any, ...], int] = {}
-        for s in c.ordered(part):
+        for s in c.dispatch.ordered(part):
             if self.under_way >= MOST:
                 return
             spec, need = s.spec, s.need
@@ -193,7 +193,7 @@
         split = c.view.split
         if self._moving or split is None or part.suspects:
             return
-        own = [s.spec for s in c.ordered(part) if self.homeless(part, s)]
+        own = [s.spec for s in c.dispatch.ordered(part) if self.homeless(part, s)]
         first = min(((x.at, x.id) for x in own), default=(float("inf"), ""))
         for i, (t, g) in sorted(c.gossip.items()):
             if i == part.number or c.now - t > 2.0 or g.term != split.parts[i].term:
