Sockets by need: users make room for workers, commands take turns

Change: from 0.7 of the sockets on users are answered 503 with Retry-After and closed, at 0.8 idle users make room; the client's requests take turns and its kept connections are bounded in all; the backlog of the listener follows the sockets. Gang fits are counted once per shape, machines with gangs once per tick.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -470,6 +470,12 @@
             for job, s in p.slices.items()
             if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
         ]
+        with_gangs = {
+            m.name
+            for s in p.slices.values()
+            if s.spec.kind == GANG
+            for m in s.placed.values()
+        }
         busy, idle, gangs, leaving = [], [], [], []
         for m in p.machines.values():
             gone = m.releasing or m.condemned or m.returning
@@ -481,7 +487,7 @@
                 continue
             elif m.settled and m.idle_since is not None and not m.placed and not m.strays:
                 idle.append((m.name, round(self.now - m.idle_since, 2)))
-            elif any(job in p.slices and p.slices[job].spec.kind == GANG for job, _ in m.placed):
+            elif m.name in with_gangs:
                 gangs.append(m.name)
             elif m.type is not None and m.placed:
                 busy.append((m.name, m.type.size[0] - m.free[0]))
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -20,7 +20,7 @@
 from marblestair.core.manager import LOG_OFF, STAY
 from marblestair.core.model import GANG, RECORD, JobSpec, too_large
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.placement import allowed, gang_fits, place_room, room, rooms_for
+from marblestair.core.placement import Room, allowed, gang_fits, place_room, room, rooms_for
 from marblestair.core.ranges import Ranges
 from marblestair.core.split import raise_term
 
@@ -62,6 +62,19 @@
     return n
 
 
+def _fits_whole(
+    known: dict[tuple[Any, ...], int], g: Gossip, spec: JobSpec, rooms: list[Room], n: int
+) -> bool:
+    """Whether a job's tasks fit together into a part's told rooms, counted once per shape."""
+    types = None if spec.types is None else tuple(spec.types)
+    how = (spec.one_zone, spec.spread, spec.tasks, len(rooms) > len(g.rooms))
+    shape = (g.part, types, spec.zone, spec.spot, spec.need, n, how)
+    fits = known.get(shape)
+    if fits is None:
+        fits = known[shape] = int(gang_fits(spec, spec.need, rooms, n))
+    return bool(fits)
+
+
 class Migrations:
     """Both sides of migrations on one node."""
 
@@ -133,7 +146,7 @@
                     if x > 0:
                         n = min(n, have // x)
                 if whole:
-                    if n < len(s.pending) or not gang_fits(spec, need, rooms, n):
+                    if n < len(s.pending) or not _fits_whole(known, g, spec, rooms, n):
                         continue
                 elif n > 0:
                     n = min(n, _fits(known, g, spec, need))
@@ -168,10 +181,14 @@
             share = (share[0] - c.jobs.kept(part, team), share[1])
             if share[0] <= used[0]:
                 return
-        here = place_room(part, s.spec, c.now)
+        here = -1
         for g in others:
             fits = _fits(known, g, s.spec, need)
-            if whole and not gang_fits(s.spec, need, g.rooms, len(s.pending)):
+            if fits <= 0:
+                continue
+            if here < 0:
+                here = place_room(part, s.spec, c.now)
+            if whole and not _fits_whole(known, g, s.spec, g.rooms, len(s.pending)):
                 continue
             n = min(fits, len(s.pending) - here)
             there = g.shares.get(team, [0, 0])
@@ -195,6 +212,9 @@
         split = c.view.split
         if self._moving or split is None or part.suspects:
             return
+        empty = [m for m in part.machines.values() if not m.placed and m.usable(c.now)]
+        if not empty:
+            return
         own = [s.spec for s in c.dispatch.ordered(part) if self.homeless(part, s)]
         first = min(((x.at, x.id) for x in own), default=(float("inf"), ""))
         for i, (t, g) in sorted(c.gossip.items()):
@@ -204,7 +224,7 @@
                 rec = c.view.jobs.get(job)
                 if rec is None or rec.cancelled or (rec.spec.at, rec.spec.id) > first:
                     continue
-                move = self._idle_for(part, rec.spec, g)
+                move = self._idle_for(empty, rec.spec, g)
                 if move:
                     self._moving = True
                     for m in move:
@@ -212,15 +232,11 @@
                     c.spawn(self._move(part, move, i))
                     return
 
-    def _idle_for(self, part: Part, spec: JobSpec, g: Gossip) -> list[Machine]:
+    def _idle_for(self, empty: list[Machine], spec: JobSpec, g: Gossip) -> list[Machine]:
         """Idle machines here that help a job in another part, if that is what it lacks: those that
         the plan sets aside for it, else one that is set aside for nobody."""
         c, need = self.c, spec.need
-        idle = [
-            m
-            for m in part.machines.values()
-            if m.usable(c.now) and not m.placed and allowed(spec, m) and room(m, need)
-        ]
+        idle = [m for m in empty if allowed(spec, m) and room(m, need)]
         aside = [m for m in idle if c.fleet.reserved.get(m.name) == spec.id]
         if aside:
             return aside[: max(1, c.settings.cluster.state.txn_ops - 1)]
--- a/marblestair/net/http_client.py
+++ b/marblestair/net/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from typing import Any
 
 import httptools
@@ -63,42 +64,75 @@
 
 
 class HttpClient:
-    """Requests to a few addresses, over connections that are kept."""
+    """Requests over connections that are kept.
 
-    def __init__(self, max_idle: int = 4, max_open: int = 64) -> None:
+    At most ``max_open`` requests are under way; more wait for their turn, in order. Kept
+    connections are bounded too, per address and in all: the longest unused is closed first."""
+
+    def __init__(self, max_idle: int = 4, max_open: int = 64, max_kept: int = 64) -> None:
         self.max_idle = max_idle
-        self.max_open = max_open
-        self._idle: dict[str, list[_Conn]] = {}
-        self.open = 0
+        self.max_kept = max_kept
+        self._turns = asyncio.Semaphore(max_open)
+        self._idle: OrderedDict[str, list[_Conn]] = OrderedDict()
+        self._kept = 0
 
     async def request(
         self, addr: str, method: str, path: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         """Status and body; 0 when no answer came, NOT_SENT when nothing was sent."""
-        idle = self._idle.setdefault(addr, [])
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._turns.acquire()
+        except TimeoutError:
+            return NOT_SENT, b""
+        try:
+            return await self._request(addr, method, path, body, timeout_s)
+        finally:
+            self._turns.release()
+
+    def _reuse(self, addr: str) -> _Conn | None:
+        idle = self._idle.get(addr, [])
         conn: _Conn | None = None
         while idle and conn is None:
             conn = idle.pop()
+            self._kept -= 1
             if not conn.open or conn.transport.is_closing():
                 conn = None
+        if not idle:
+            self._idle.pop(addr, None)
+        return conn
+
+    def _keep(self, addr: str, conn: _Conn) -> None:
+        idle = self._idle.setdefault(addr, [])
+        self._idle.move_to_end(addr)
+        if len(idle) >= self.max_idle:
+            conn.transport.close()
+            return
+        idle.append(conn)
+        self._kept += 1
+        while self._kept > self.max_kept:
+            oldest, others = next(iter(self._idle.items()))
+            others.pop(0).transport.close()
+            self._kept -= 1
+            if not others:
+                del self._idle[oldest]
+
+    async def _request(
+        self, addr: str, method: str, path: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        conn = self._reuse(addr)
         loop = asyncio.get_running_loop()
         until = loop.time() + timeout_s
         if conn is None:
-            if self.open >= self.max_open:
-                return NOT_SENT, b""
             host, _, port = addr.rpartition(":")
-            self.open += 1
             try:
                 async with asyncio.timeout(timeout_s):
                     _, conn = await loop.create_connection(_Conn, host, int(port))
             except (OSError, TimeoutError, ValueError):
                 return NOT_SENT, b""
-            finally:
-                self.open -= 1
         head = f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\n"
         if body or method == "POST":
             head += f"Content-Type: application/msgpack\r\nContent-Length: {len(body)}\r\n"
-        self.open += 1
         try:
             async with asyncio.timeout_at(until):
                 status, data = await conn.send(head.encode("ascii") + b"\r\n" + body)
@@ -108,24 +142,8 @@
         except asyncio.CancelledError:
             conn.transport.abort()
             raise
-        finally:
-            self.open -= 1
-        if conn.open and conn.keep and len(idle) < self.max_idle:
-            idle.append(conn)
+        if conn.open and conn.keep:
+            self._keep(addr, conn)
         elif conn.open:
             conn.transport.close()
         return status, data
-
-    def close(self) -> None:
-        """Drop every kept connection."""
-        for idle in self._idle.values():
-            for c in idle:
-                if c.open:
-                    c.transport.abort()
-            idle.clear()
-
-    def drop(self, addr: str) -> None:
-        """Forget kept connections to an address."""
-        for c in self._idle.pop(addr, []):
-            if c.open:
-                c.transport.abort()
--- a/marblestair/net/http_server.py
+++ b/marblestair/net/http_server.py
@@ -41,6 +41,7 @@
         "last",
         "server",
         "transport",
+        "worker",
     )
 
     def __init__(self, server: HttpServer) -> None:
@@ -55,6 +56,8 @@
         self._keep = True
         self._queue: list[tuple[str, str, bytes, bool]] = []
         self.last = 0.0
+        #: it has carried a worker's report: such connections are not given up for users'
+        self.worker = False
 
     # asyncio
 
@@ -138,11 +141,17 @@
         self._keep = item[3]
         self.server.handler(self, item[0], item[1], item[2])
 
-    def respond(self, status: int, body: bytes, extra: str = "") -> None:
-        """Answer the request under way."""
+    @property
+    def idle(self) -> bool:
+        """Whether no request is under way."""
+        return not self._busy
+
+    def respond(self, status: int, body: bytes, extra: str = "", close: bool = False) -> None:
+        """Answer the request under way; with ``close`` it is the last of its connection."""
         if self.transport is None or not self._busy:
             return
         self._busy = False
+        self._keep = self._keep and not close
         head = (
             f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
             f"Content-Type: application/msgpack\r\nContent-Length: {len(body)}\r\n{extra}"
@@ -157,7 +166,10 @@
 
 
 class HttpServer:
-    """Listens, bounds the number of connections and drops idle ones."""
+    """Listens, bounds the number of connections and drops idle ones.
+
+    From ``crowded_at`` connections on, users are to be turned away (:attr:`crowded`), so that the
+    rest is left to workers; at ``max_connections`` the longest idle user makes room."""
 
     def __init__(
         self,
@@ -166,37 +178,52 @@
         max_connections: int,
         max_body: int,
         idle_s: float,
+        crowded_at: int | None = None,
     ) -> None:
         self.handler = handler
         self.clock = clock
         self.max_connections = max_connections
         self.max_body = max_body
         self.idle_s = idle_s
+        self.crowded_at = max_connections if crowded_at is None else crowded_at
         self.connections: set[Connection] = set()
         self._server: Any = None
 
+    @property
+    def crowded(self) -> bool:
+        """Whether what is left of the connections is kept for workers."""
+        return len(self.connections) > self.crowded_at
+
     def admit(self, c: Connection) -> bool:
-        """Whether a new connection finds a place; long idle ones make room for it."""
+        """Whether a new connection finds a place; a user's that is idle makes room for it."""
         if len(self.connections) >= self.max_connections:
-            self.sweep(self.idle_s / 8)
+            users = [x for x in self.connections if x.idle and not x.worker]
+            if users:
+                self._drop(min(users, key=lambda x: x.last))
+            else:
+                self.sweep(self.idle_s / 8)
             if len(self.connections) >= self.max_connections:
                 return False
         self.connections.add(c)
         return True
 
+    def _drop(self, c: Connection) -> None:
+        if c.transport is not None:
+            c.transport.close()
+        self.connections.discard(c)
+
     def sweep(self, idle_s: float) -> None:
         """Close connections that have been idle."""
         now = self.clock()
         for c in list(self.connections):
-            if now - c.last > idle_s and c.transport is not None and not c._busy:
-                c.transport.close()
-                self.connections.discard(c)
+            if now - c.last > idle_s and c.transport is not None and c.idle:
+                self._drop(c)
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=128, reuse_address=True
+            lambda: Connection(self), host, port, backlog=self.max_connections, reuse_address=True
         )
 
     def close(self) -> None:
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -42,6 +42,11 @@
 
 #: pause between ticks, as a share of the workers' report interval
 TICK = 0.2
+#: shares of the sockets: what is accepted at all, from which users are turned away so that every
+#: worker finds a place, and what each outgoing use may keep or have under way
+ACCEPTED, CROWDED, OUTGOING = 0.8, 0.7, 0.04
+#: seconds after which a user who was turned away may come back
+CROWDED_RETRY_S = 2
 #: time for one call of the state service, of the cloud, and of a worker
 STATE_S, CLOUD_S, WORKER_S = 1.2, 4.0, 1.5
 
@@ -58,12 +63,20 @@
         self.core.fleet.tuning = policy.tuning
         self.core.lead_s = policy.lead_s
         sockets = int(c.machine_limits.sockets)
+        few = max(4, int(sockets * OUTGOING))
         self.server = HttpServer(
-            self._handle, time.monotonic, max(8, int(sockets * 0.7)), wire.MAX_BODY, 120.0
+            self._handle,
+            time.monotonic,
+            max(8, int(sockets * ACCEPTED)),
+            wire.MAX_BODY,
+            120.0,
+            max(4, int(sockets * CROWDED)),
         )
-        self.state = HttpClient(8, max(8, sockets // 20))
+        self.state = HttpClient(few, 2 * few, few)
         self.cloud = HttpClient(2, 8)
-        self.workers = HttpClient(1, max(4, sockets // 20))
+        # Stops for hundreds of machines at once take turns; no machine's connection is kept for
+        # long where there are many.
+        self.workers = HttpClient(1, few, few)
         # A few per cent stay free: clocks drift and the services count on theirs.
         self.state_budget = Budget(c.state.rps / n * 0.95, c.state.write_rps / n * 0.95)
         self.cloud_budget = Budget(c.cloud.rps / n * 0.9, 1.0, 10.0)
@@ -222,6 +235,7 @@
             return
         self._time()
         if action == "report":
+            conn.worker = True
             try:
                 rep = wire.parse_report(body)
             except wire.BadRequest as e:
@@ -237,6 +251,10 @@
             conn.respond(status, wire.pack(answer))
             self._flush()
             return
+        if self.server.crowded:
+            body = wire.pack(wire.error_answer("too many connections"))
+            conn.respond(503, body, f"Retry-After: {CROWDED_RETRY_S}\r\n", close=True)
+            return
         spec = None
         if action == "submit":
             try:
