Rent in one turn what is wanted, in shares per part; refusals are told to the others

Ruled out: boots (25 to 40 s) and the state service (0 refusals). Change: every part rents its even share of a want in the same turn, up to the interface's 50 in one request; a kind that was refused or came short is followed by the next best at once; refusals are gossiped.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -428,10 +428,9 @@
             g = self.measure(p)
             self.gossip[p.number] = (self.now, g)
             told.append(msgspec.to_builtins(g))
+        args = [self.incarnation, told, not self.isolated(self.now), self.fleet.refusals()]
         for peer in self.settings.others:
-            self.notes.append(
-                Note(peer.node, "gossip", [self.incarnation, told, not self.isolated(self.now)])
-            )
+            self.notes.append(Note(peer.node, "gossip", args))
 
     def measure(self, p: Part) -> Gossip:
         """What the others should know about a part."""
@@ -552,6 +551,7 @@
                     g = msgspec.convert(raw, Gossip)
                     self.gossip[g.part] = (self.now, g)
                 self.in_touch[node] = bool(args[2])
+                self.fleet.told_refusals(args[3])
             elif tag == "progress":
                 self.jobs.told(args)
         except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -42,7 +42,7 @@
     plan,
 )
 from marblestair.core.shares import hopeless
-from marblestair.core.split import MachineRecord
+from marblestair.core.split import MachineRecord, even
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -56,8 +56,8 @@
 #: only what has been beyond the need for this many of its boot times is emptied: need that comes
 #: back sooner would have to wait for boots
 EMPTY_BOOTS = 2.0
-#: machines in one rental
-MAX_RENT = 8
+#: machines in one rental, at most, by the cloud's interface
+MAX_RENT = 50
 
 
 class Fleet:
@@ -231,8 +231,10 @@
         """Rent for the backlog, return what is idle or broken."""
         c = self.c
         c.spawn(self._finish_hires(part))
+        pause = 1.0
         while c.parts.get(part.number) is part:
-            yield Sleep(0.8 + 0.4 * c.rng.random())
+            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+            pause = 1.0
             if not c.acts(part.number) or not c.types:
                 continue
             now = c.now
@@ -256,19 +258,25 @@
             if leaving:
                 yield from self._release(part, leaving[:MAX_RELEASE])
                 continue
-            for i, want in enumerate(plan.rent):
-                turn = self._turn(i) if want.part < 0 else want.part
-                if turn == part.number:
-                    count = min(want.count, MAX_RENT)
-                    yield from self._rent(part, msgspec.structs.replace(want, count=count))
-                    break
-
-    def _turn(self, i: int) -> int:
-        """Which part carries out the i-th rental: the parts with fewest machines first."""
+            # All that is this part's to rent goes out in one turn, in as few requests as can be;
+            # where a kind is refused, the next best is asked for at once.
+            full = True
+            for want in plan.rent:
+                count = min(self._portion(part, want), MAX_RENT)
+                if count and c.acts(part.number):
+                    got = yield from self._rent(part, msgspec.structs.replace(want, count=count))
+                    full = full and got == count
+            pause = 1.0 if full else 0.1
+
+    def _portion(self, part: Part, want: Want) -> int:
+        """How many of the machines of a rental this part rents: its even share, the parts with
+        fewest machines first, or all where a gang waits here."""
         c = self.c
+        if want.part >= 0:
+            return want.count if want.part == part.number else 0
         s = c.view.split
         if s is None:
-            return -1
+            return 0
         count = {n: 0 for n in range(len(s.parts)) if n in c.gossip}
         for rec in c.view.machines.values():
             if rec.part in count:
@@ -276,7 +284,9 @@
         live = sorted(
             (n for n in count if c.now - c.gossip[n][0] < 3.0), key=lambda n: (count[n], n)
         )
-        return live[i % len(live)] if live else -1
+        if part.number not in live:
+            return 0
+        return even(want.count, len(live))[live.index(part.number)]
 
     def _plan(self) -> Plan:
         c = self.c
@@ -492,7 +502,21 @@
     def _refused(self, k: Kind) -> bool:
         return self.c.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
 
+    def refusals(self) -> list[tuple[str, str, bool, float]]:
+        """Kinds that the cloud has none of, and for how long they are not asked for; told to the
+        others, so that each does not have to learn it by a request of its own."""
+        now = self.c.now
+        return [(*k, round(t - now, 2)) for k, t in sorted(self.refused.items()) if t > now]
+
+    def told_refusals(self, told: list[Any]) -> None:
+        """What another controller was refused."""
+        for type_name, zone, spot, left in told:
+            kind = (str(type_name), str(zone), bool(spot))
+            until = self.c.now + min(float(left), 300.0)
+            self.refused[kind] = max(until, self.refused.get(kind, -1e9))
+
     def _rent(self, part: Part, want: Want) -> Step:
+        """Rent machines; how many the cloud gave, all of them where that is not known."""
         c = self.c
         self._hires += 1
         name = f"r-{part.term}-{self._hires}"
@@ -504,11 +528,11 @@
         if r.status != 200:
             if r.status == 0:
                 part.trash.append(key)
-            return
-        yield from self._hire(part, name, want)
+            return want.count
+        return (yield from self._hire(part, name, want))
 
     def _hire(self, part: Part, name: str, want: Want) -> Step:
-        """Rent under a recorded name, for as long as it takes to know the answer."""
+        """Rent under a recorded name, for as long as it takes to know the answer; how many."""
         c = self.c
         key = keys.hire(part.number, name)
         pause = 0.5
@@ -521,13 +545,14 @@
                 boot = t.boot_s if t is not None else 30.0
                 self.refused[(want.type, want.zone, want.spot)] = c.now + max(5.0, 0.5 * boot)
                 part.trash.append(key)
-                return
+                return 0
             if c.parts.get(part.number) is not part:
-                return
+                return 0
             yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
             pause = min(4.0, pause * 1.6)
         c.log("info", f"rented {got.machines} as {name}: {want.type} {want.zone} {want.spot}")
         names = list(got.machines)
+        count = len(names)
         ops = max(1, c.batch - 1)
         if len(names) < want.count:
             t = c.types.get(want.type)
@@ -553,14 +578,15 @@
                 names = rest
                 continue
             if c.parts.get(part.number) is not part:
-                return
+                return count
             if r.status == 409:
                 # Recorded by an earlier try, or adopted by somebody in between.
                 names = [n for n in names if n not in c.view.machines and n not in c.view.gone]
                 if not names:
                     part.trash.append(key)
-                    return
+                    return count
             yield Sleep(0.2 + 0.2 * c.rng.random())
+        return count
 
     def _finish_hires(self, part: Part) -> Flow:
         """Carry out the rentals that an earlier owner recorded: the same name gives the same
