Order and shares are worked out once a tick; sampling as the design has it

Also the queue's rewrite had sampled among machines with room only; the design samples all usable ones and else takes the first that fits: restored. Change: the order is kept for the tick; a team found at its limit is not tried again in the same pass; machines are put in order once per part in the plan; reports to managers are made on change. Ruled out: parsing, notes (1%).

--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -52,9 +52,19 @@
     def __init__(self, c: Controller) -> None:
         self.c = c
         self._queues: dict[int, Queue] = {}
+        self._ordered: dict[int, tuple[float, list[Slice]]] = {}
 
     def ordered(self, part: Part) -> list[Slice]:
-        """The part's slices with pending tasks, in the order in which they are served."""
+        """The part's slices with pending tasks, in the order in which they are served; put in
+        order once for all that ask at the same moment."""
+        at, order = self._ordered.get(part.number, (-1e9, []))
+        if at == self.c.now:
+            return [s for s in order if self._waits(part, s)]
+        order = self._order(part)
+        self._ordered[part.number] = (self.c.now, order)
+        return list(order)
+
+    def _order(self, part: Part) -> list[Slice]:
         wall, f = self.c.wall, self.c.factor
         guaranteed, hopeless, lead = self.c.guaranteed, self.c.fleet.hopeless, self.c.lead_s
         waiting = [s for s in part.slices.values() if s.pending.count and not s.cancelled]
@@ -78,14 +88,11 @@
             return
         claims = self.c.preemption.claims
         least = queue.least = min(s.need[0] for s in order)
-        usable = [
-            m
-            for m in part.machines.values()
-            if m.free[0] >= least and m.name not in claims and m.usable(now)
-        ]
+        usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
+        free = [m for m in usable if m.free[0] >= least]
         old = [s for s in order if wall - s.spec.at > BOUND_S]
         if old:
-            self._help(part, old, usable, queue)
+            self._help(part, old, usable, free, queue)
             gangs = [s for s in old if s.spec.kind == GANG]
             if gangs:
                 order = [*gangs, *(s for s in order if s not in gangs)]
@@ -98,14 +105,21 @@
                 queue.teams[s.spec.team] = min(x, s.need[0])
         #: share that a gang further ahead waits for: what comes after it leaves that alone
         held: dict[str, list[int]] = {}
+        #: team -> least that found no room under its share
+        full: dict[str, int] = {}
         survey = self.c.preemption.survey(part)
         for s in order:
             if s.suspect or now < s.not_before:
                 continue
             if s.spec.kind != GANG:
-                if usable and self._array(part, s, usable, held):
-                    usable = [m for m in usable if m.free[0] >= least]
-            elif not self._gang(part, s, usable, held) and not s.placed:
+                need = s.need[0]
+                if not free or full.get(s.spec.team, 1 << 62) <= need:
+                    continue
+                if self._array(part, s, usable, free, held):
+                    free = [m for m in free if m.free[0] >= least]
+                elif not self._room(part, s, held):
+                    full[s.spec.team] = need
+            elif not self._gang(part, s, free, held) and not s.placed:
                 n = len(s.pending)
                 h = held.setdefault(s.spec.team, [0, 0])
                 if self.c.fleet.hurried(s.spec):
@@ -114,6 +128,7 @@
                     if self.c.preemption.clear(part, s, ahead, True, survey):
                         # What comes after it may not fill what is being cleared.
                         usable = [m for m in usable if m.name not in claims]
+                        free = [m for m in free if m.name not in claims]
                 h[0] += n * s.need[0]
                 h[1] += n * s.need[1]
 
@@ -130,7 +145,7 @@
             s, n = entry
             assert isinstance(s, Slice) and isinstance(n, int)
             if n > 0 and s.need[0] <= m.free[0] and self._waits(part, s):
-                entry[1] = n - self._array(part, s, one, {}, n)
+                entry[1] = n - self._array(part, s, one, one, {}, n)
         #: team -> least that found no room under its share, and how many teams have none at all
         full: dict[str, int] = {}
         closed = 0
@@ -152,7 +167,7 @@
                 h[0] += len(s.pending) * need[0]
                 h[1] += len(s.pending) * need[1]
             elif need[0] <= free and full.get(team, 1 << 62) > need[0]:
-                if not self._array(part, s, one, held) and not self._room(part, s, held):
+                if not self._array(part, s, one, one, held) and not self._room(part, s, held):
                     full[team] = need[0]
                     closed += need[0] <= queue.teams.get(team, 0)
                     if closed == len(queue.teams) and free < queue.gangs:
@@ -177,6 +192,7 @@
         part: Part,
         s: Slice,
         usable: list[Machine],
+        free: list[Machine],
         held: dict[str, list[int]],
         most: int = 1 << 30,
     ) -> int:
@@ -184,18 +200,18 @@
         hurry = HURRY if s.spec.id in c.guaranteed else 1.0
         share = self._share(part, s, held)
         keep, drain = c.fleet.reserved.keys(), c.fleet.drained
-        return place_array(part, s, share, usable, c.now, c.rng, keep, drain, hurry, most)
+        return place_array(part, s, share, usable, free, c.now, c.rng, keep, drain, hurry, most)
 
     def _gang(
-        self, part: Part, s: Slice, usable: list[Machine] | None, held: dict[str, list[int]]
+        self, part: Part, s: Slice, free: list[Machine] | None, held: dict[str, list[int]]
     ) -> int:
-        """Start a gang whole, if there is room; ``usable`` machines are known to be such."""
+        """Start a gang whole, if there is room, on ``free`` machines or on any."""
         c = self.c
         need = s.need[0]
-        machines = part.machines.values() if usable is None else usable
+        machines = part.machines.values() if free is None else free
         options = [m for m in machines if m.free[0] >= need]
-        if usable is not None:
-            # Those that are claimed for this gang are not among the usable.
+        if free is not None:
+            # Those that are claimed for this gang are not among them.
             options += [m for m in c.preemption.claimed_for(part, s.spec.id) if m not in options]
         n = place_gang(part, s, self._share(part, s, held), c.now, options, c.preemption.claimed)
         if n:
@@ -206,7 +222,14 @@
             )
         return n
 
-    def _help(self, part: Part, old: list[Slice], usable: list[Machine], queue: Queue) -> None:
+    def _help(
+        self,
+        part: Part,
+        old: list[Slice],
+        usable: list[Machine],
+        free: list[Machine],
+        queue: Queue,
+    ) -> None:
         """Work that has waited for long is not put off any further: of each team, what has not
         begun gets a first helping, and what is older still a share of the team's room, ahead of
         everything else."""
@@ -228,7 +251,7 @@
                 # Each begins before the oldest is done, if only with a few of its tasks.
                 n = max(1, min(n, s.size // FIRST))
             if n > 0:
-                got = self._array(part, s, usable, {}, n) if usable else 0
+                got = self._array(part, s, usable, free, {}, n) if free else 0
                 held[team] = held.get(team, 0) + got * s.need[0]
                 if got < n and s.pending.count:
                     queue.help.append([s, n - got])
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -86,7 +86,7 @@
         self.c = c
         self.finals: OrderedDict[str, str] = OrderedDict()
         self.managed: dict[str, Managed] = {}
-        self._told: dict[tuple[int, str], tuple[float, PartReport]] = {}
+        self._told: dict[tuple[int, str], tuple[float, list[Any]]] = {}
         limits = c.settings.cluster.state
         n = len(c.settings.nodes)
         # Submissions under way at once: about a second's worth of this node's writes.
@@ -571,24 +571,20 @@
                 rec = c.view.jobs.get(job)
                 if rec is None:
                     continue
-                unknown = sl.suspect or p.suspects
-                report = PartReport(
-                    job,
-                    p.number,
-                    p.term,
-                    sl.done_count,
-                    sl.runs,
-                    -1 if unknown else len(sl.placed),
-                    sl.size,
-                )
+                placed = -1 if sl.suspect or p.suspects else len(sl.placed)
+                now_so: list[Any] = [job, p.number, p.term, sl.done_count, sl.runs]
+                now_so += [placed, sl.size]
                 owner = c.owner(rec.manager)
                 if owner == c.node:
-                    self._take_report(report)
+                    mj = self.managed.get(job)
+                    r = mj.reports.get(p.number) if mj is not None else None
+                    if r is None or msgspec.structs.astuple(r) != tuple(now_so):
+                        self._take_report(PartReport(*now_so))
                     continue
                 then, old = self._told.get((p.number, job), (-1e9, None))
-                if owner is not None and (old != report or c.now - then > 2.0):
-                    self._told[(p.number, job)] = (c.now, report)
-                    out.setdefault(owner, []).append(msgspec.to_builtins(report))
+                if owner is not None and (old != now_so or c.now - then > 2.0):
+                    self._told[(p.number, job)] = (c.now, now_so)
+                    out.setdefault(owner, []).append(now_so)
         for node, reports in out.items():
             c.notes.append(api.Note(node, "progress", reports))
         if len(self._told) > 4 * (len(c.view.jobs) + 50):
@@ -610,7 +606,7 @@
         for p in acting:
             if p.suspects:
                 continue
-            mine = c.measure(p)
+            mine = c.gossip[p.number][1] if p.number in c.gossip else c.measure(p)
             for i, (t, g) in sorted(c.gossip.items()):
                 if i == p.number or c.now - t > 3.0 or g.term != c.view.split.parts[i].term:
                     continue
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -124,6 +124,13 @@
         #: how many tasks of a shape a part has room for: many jobs have the same shape
         known: dict[tuple[Any, ...], int] = {}
         survey = c.preemption.survey(part)
+        #: team -> whether its share here is not all in use
+        spare: dict[str, bool] = {}
+        #: team -> the most that another part has left of its share
+        left: dict[str, int] = {}
+        for g in others:
+            for team, free in g.shares.items():
+                left[team] = max(left.get(team, 0), free[0])
         for s in c.dispatch.ordered(part):
             if self.under_way >= MOST:
                 return
@@ -134,11 +141,12 @@
             if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
                 continue
             hurried = spec.kind == GANG and c.fleet.hurried(spec)
-            share = c.share(part, spec.team)
-            if hurried and c.preemption.clear(part, s, share, False, survey):
-                continue
+            if hurried:
+                share = c.share(part, spec.team)
+                if c.preemption.clear(part, s, share, False, survey):
+                    continue
             best, most = None, 0
-            for g in others:
+            for g in others if left.get(spec.team, 0) >= need[0] else ():
                 rooms = g.rooms + g.held if hurried else g.rooms
                 room = g.shares.get(spec.team, [0, 0])
                 n = len(s.pending)
@@ -153,7 +161,12 @@
                 if n > most:
                     best, most = g, n
             if best is None:
-                self._send_room(part, s, others, whole, known)
+                team = spec.team
+                if team not in spare:
+                    used, share = part.usage(team), c.share(part, team)
+                    spare[team] = any(u < x for u, x in zip(used, share, strict=True))
+                if spare[team] and not c.lowered:
+                    self._send_room(part, s, others, whole, known)
                 continue
             ranges = s.pending.tail(most)
             if self.start(part, s, ranges, best.part):
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -60,15 +60,21 @@
 def pick(
     spec: JobSpec,
     need: tuple[int, int, int],
+    candidates: list[Machine],
     fitting: list[Machine],
     rng: random.Random,
     hurry: float = 1.0,
 ) -> Machine | None:
-    """Best fit among sampled machines that have room; ``hurry`` weighs the wait for the image."""
+    """Best fit among sampled machines; if none of them fits, the first that does.
+
+    ``fitting`` are the candidates that have room; ``hurry`` weighs the wait for the image."""
     if len(fitting) < 2:
         return fitting[0] if fitting else None
-    sample = fitting if len(fitting) <= SAMPLE else rng.sample(fitting, SAMPLE)
-    return min(sample, key=lambda m: _score(spec, m, need, hurry))
+    sample = candidates if len(candidates) <= SAMPLE else rng.sample(candidates, SAMPLE)
+    found = [m for m in sample if room(m, need)]
+    if found:
+        return min(found, key=lambda m: _score(spec, m, need, hurry))
+    return fitting[0]
 
 
 def zone_limit(spec: JobSpec) -> int:
@@ -91,6 +97,7 @@
     s: Slice,
     share: tuple[int, int],
     usable: list[Machine],
+    free: list[Machine],
     now: float,
     rng: random.Random,
     keep: Container[str],
@@ -100,39 +107,47 @@
 ) -> int:
     """Launch as many pending tasks of an array as fit, up to ``most``; how many.
 
-    Machines in ``keep`` are left to gangs; those in ``drain`` are used only when no other has
-    room."""
+    ``free`` are those of the ``usable`` machines that may have room. Machines in ``keep`` are left
+    to gangs; those in ``drain`` are used only when no other has room."""
     spec, need = s.spec, s.need
     budget = min(within_share(part, s, share), len(s.pending), most)
     if budget <= 0:
         return 0
-    cpus = need[0]
-    machines = [
-        m
-        for m in usable
-        if m.free[0] >= cpus and m.name not in keep and allowed(spec, m) and room(m, need)
-    ]
+    fitting = [m for m in free if m.name not in keep and allowed(spec, m) and room(m, need)]
+    if not fitting:
+        return 0
+    # Sampled are all that may be used, also those that are full; a single one needs no sample.
+    machines = fitting
+    if usable is not free:
+        machines = [m for m in usable if m.name not in keep and allowed(spec, m)]
+    # Those that are to fall idle are used only when no other has room.
+    late: list[Machine] = []
+    if drain:
+        late = [m for m in fitting if m.name in drain]
+        fitting = [m for m in fitting if m.name not in drain]
+        machines = [m for m in machines if m.name not in drain]
     apart = spec.one_zone or spec.spread
     zones = Counter(m.zone for m in s.placed.values()) if apart else Counter()
     limit = zone_limit(spec)
+
+    def open_(m: Machine) -> bool:
+        """Whether the job's tasks may lie in the machine's zone, together or apart."""
+        if spec.one_zone and zones and not zones[m.zone]:
+            return False
+        return not spec.spread or zones[m.zone] < limit
+
     started = 0
-    # Those that are to fall idle are used only when no other has room.
-    late = [m for m in machines if m.name in drain] if drain else []
-    if late:
-        machines = [m for m in machines if m.name not in drain]
-    while budget > 0 and (machines or late):
-        if not machines:
-            machines, late = late, []
-        options = machines
-        if spec.one_zone and zones:
-            options = [m for m in options if zones[m.zone]]
-        if spec.spread:
-            options = [m for m in options if zones[m.zone] < limit]
-        m = pick(spec, need, options, rng, hurry)
+    while budget > 0 and (fitting or late):
+        if not fitting:
+            machines = fitting = late
+            late = []
+        options, fits = machines, fitting
+        if apart:
+            options = [m for m in machines if open_(m)]
+            fits = [m for m in fitting if open_(m)]
+        m = pick(spec, need, options, fits, rng, hurry)
         if m is None:
-            if not late:
-                break
-            machines, late = late, []
+            fitting = []
             continue
         n = min(room(m, need), budget)
         if spec.spread:
@@ -144,7 +159,7 @@
         budget -= n
         started += n
         if budget > 0 and not room(m, need):
-            machines.remove(m)
+            fitting = [x for x in fitting if x is not m]
     return started
 
 
@@ -218,9 +233,7 @@
         return 0
     spec = s.spec
     machines = [
-        m
-        for m in options
-        if m.usable(now) and allowed(spec, m) and not claimed(m, spec.id)
+        m for m in options if m.usable(now) and allowed(spec, m) and not claimed(m, spec.id)
     ]
     chosen = plan_gang(spec, s.need, machines, n)
     if chosen is None:
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -242,6 +242,16 @@
     def keep(name: str, job: str) -> None:
         reserved[name] = job
 
+    by_part: dict[int, list[Have]] = {}
+
+    def soonest(part: int) -> list[Have]:
+        # Put in order once per part: many gangs may wait.
+        if part not in by_part:
+            by_part[part] = sorted(
+                machines, key=lambda m: (m.ready_s(boot), m.part != part, m.spot, m.name)
+            )
+        return by_part[part]
+
     def set_aside(spec: JobSpec, n: int, part: int, aside: Callable[[str], None]) -> None:
         """Set machines aside for n tasks of a gang's kind, and rent what is missing.
 
@@ -249,10 +259,7 @@
         options = [k for k in kinds(spec, types) if not refused(k)]
         fits = [
             m
-            for m in sorted(
-                machines,
-                key=lambda m: (m.ready_s(boot), m.part != part, m.spot, m.name),
-            )
+            for m in soonest(part)
             if m.name not in used
             and spec.may_run_on(m.type.name, m.zone, m.spot)
             and per_machine(m.type, spec.need)
@@ -319,10 +326,12 @@
             return False
         return cheapest < 0.7 * m.type.price / max(m.type.cpus, 1.0)
 
+    #: kinds for each shape of task among the arrays
+    array_kinds = list({id(found): found for found in (kinds_of(x.spec) for x in arrays)}.values())
     spots = {
         k.key: k.price * (1 + tuning.spot_risk) / max(k.type.cpus, 1.0)
-        for x in arrays
-        for k in kinds_of(x.spec)
+        for found in array_kinds
+        for k in found
         if k.spot and not refused(k)
     }
     cheapest = min(spots.values(), default=1e18)
