What has waited long shares one quarter of its team's room, also on reports

Since reports fill their own machine, each old slice of the queue could take a team's whole quarter by itself. Ruled out: rentals (the team is at its limit), order. Change: the quarter is counted once per team over all reports between two ticks. A story counts it (fails before: 10 tasks of each slice instead of one).

--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -35,8 +35,10 @@
     """What waits in a part, as it was last gone through."""
 
     def __init__(self) -> None:
-        #: slices that are helped ahead of everything else, and with how many tasks yet
-        self.help: list[list[Slice | int]] = []
+        #: slices that are helped ahead of everything else: how many tasks each may have at most,
+        #: how many of them whatever else is helped, and what is left for all of a team
+        self.help: list[tuple[Slice, int, int]] = []
+        self.left: dict[str, int] = {}
         #: all that waits, first things first
         self.order: list[Slice] = []
         #: least that a waiting task takes; more than any machine has when nothing waits
@@ -141,11 +143,13 @@
         if m.name in self.c.preemption.claims or m.name in self.c.fleet.drained:
             return
         one = [m]
-        for entry in queue.help:
-            s, n = entry
-            assert isinstance(s, Slice) and isinstance(n, int)
-            if n > 0 and s.need[0] <= m.free[0] and self._waits(part, s):
-                entry[1] = n - self._array(part, s, one, one, {}, n)
+        for k, (s, most, least) in enumerate(queue.help):
+            cpus, left = s.need[0], queue.left.get(s.spec.team, 0)
+            n = max(least, min(most, left // cpus)) if cpus else most
+            if n > 0 and cpus <= m.free[0] and self._waits(part, s):
+                got = self._array(part, s, one, one, {}, n)
+                queue.help[k] = (s, most - got, max(0, least - got))
+                queue.left[s.spec.team] = left - got * cpus
         #: team -> least that found no room under its share, and how many teams have none at all
         full: dict[str, int] = {}
         closed = 0
@@ -235,6 +239,9 @@
         everything else."""
         c = self.c
         held: dict[str, int] = {}
+        left = queue.left
+        #: teams that are owed a task of what is oldest
+        owed: set[str] = set()
         for s in part.slices.values():
             if s.placed and c.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
                 held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
@@ -244,14 +251,20 @@
                 continue
             if begun[s.spec.id] and c.wall - s.spec.at < OLD_S:
                 continue
-            team, share = s.spec.team, c.share(part, s.spec.team)
-            most = int(OLD_SHARE * share[0]) - held.get(team, 0)
-            n = max(most // s.need[0] if s.need[0] else 1, 0 if held.get(team) else 1)
+            team, need = s.spec.team, s.need[0]
+            if team not in left:
+                left[team] = int(OLD_SHARE * c.share(part, team)[0]) - held.get(team, 0)
+            # A team of which nothing that old runs gets a task, however large.
+            least = 0 if held.get(team) or team in owed else 1
+            most = s.size
             if not begun[s.spec.id]:
                 # Each begins before the oldest is done, if only with a few of its tasks.
-                n = max(1, min(n, s.size // FIRST))
-            if n > 0:
-                got = self._array(part, s, usable, free, {}, n) if free else 0
-                held[team] = held.get(team, 0) + got * s.need[0]
-                if got < n and s.pending.count:
-                    queue.help.append([s, n - got])
+                least, most = 1, max(1, s.size // FIRST)
+            n = max(least, min(most, left[team] // need)) if need else most
+            got = self._array(part, s, usable, free, {}, n) if n > 0 and free else 0
+            held[team] = held.get(team, 0) + got * need
+            left[team] -= got * need
+            if s.pending.count and got < most:
+                if begun[s.spec.id]:
+                    owed.add(team)
+                queue.help.append((s, most - got, max(0, least - got)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marblestair.core.model import MachineType
+from marblestair.core.part import Machine, Slice
 from tests.fakes.world import Worker, World, spec
 from tests.test_growth import cost
 
@@ -227,3 +228,30 @@
     )
     settled(w, others, 200.0)
     assert w.state_of(largest) == "cancelled"
+
+
+def test_what_has_waited_long_shares_its_quarter_of_the_room() -> None:
+    """Found on simulated days of a team at its limit: each old slice could take the whole quarter
+    from a machine that reported, and so large old jobs kept the rest from ending in time."""
+    w = World(25, 1, teams=[{"name": "red", "cpus": 0.0, "cpus_max": 64.0}])
+    w.run(3.0)
+    core = w.cores["n0"]
+    assert core is not None
+    w.set_time(core)
+    part = core.acting()[0]
+    m = Machine("host-1", "t64", "a", False, core.now)
+    m.set_type(MachineType("t64", 64.0, 0.0, 256.0, 50.0, 1.0, 1.0, 0.3, 5.0, ["a"]))
+    part.add_machine(m)
+    m.settled, m.seen = True, core.now
+    for n in range(1, 9):
+        s = Slice(spec(n, tasks=160, at=core.wall - 200.0))
+        s.ranges, s.size = [[0, 160]], 160
+        s.pending.add(0, 160)
+        part.slices[s.spec.id] = s
+    m.free[0] = 0
+    core.dispatch.place(part)
+    assert not m.placed
+    m.free[0] = 30_000_000
+    core.dispatch.fill(part, m)
+    # A quarter of 64 for the first helpings, a task for each that got none; then the usual order.
+    assert [len(s.placed) for s in part.slices.values()] == [18, 6, 1, 1, 1, 1, 1, 1]
