Ordinary machines only for work that is due soon and for more than noise

Ruled out: duplicate rentals of two parts (each counts its own). Change: where work may run on spot machines, ordinary ones are rented only for what must start within 1.5 run times and for more than 3% of the capacity; the next kind is tried at once only if a tenth lacks.

--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -56,6 +56,9 @@
 #: only what has been beyond the need for this many of its boot times is emptied: need that comes
 #: back sooner would have to wait for boots
 EMPTY_BOOTS = 2.0
+#: share of the capacity that must lack before what is refused is asked for elsewhere at
+#: once, and not only with the next plan
+HASTY = 0.1
 #: machines in one rental, at most, by the cloud's interface
 MAX_RENT = 50
 
@@ -259,14 +262,15 @@
                 yield from self._release(part, leaving[:MAX_RELEASE])
                 continue
             # All that is this part's to rent goes out in one turn, in as few requests as can be;
-            # where a kind is refused, the next best is asked for at once.
+            # where a kind is refused, the next best is asked for at once if much is lacking.
+            much = plan.target > plan.capacity * (1 + HASTY)
             full = True
             for want in plan.rent:
                 count = min(self._portion(part, want), MAX_RENT)
                 if count and c.acts(part.number):
                     got = yield from self._rent(part, msgspec.structs.replace(want, count=count))
                     full = full and got == count
-            pause = 1.0 if full else 0.1
+            pause = 0.1 if much and not full else 1.0
 
     def _portion(self, part: Part, want: Want) -> int:
         """How many of the machines of a rental this part rents: its even share, the parts with
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -24,6 +24,12 @@
 LEAST_AGE_S = 58.0
 #: work lost by emptying a machine, against the room that would stand free meanwhile
 HOLLOW = 0.5
+#: run times ahead of its due time from which on work is worth ordinary machines, though it may run
+#: on spot ones
+DEAR_LEAD = 1.5
+#: share of the capacity that must lack before ordinary machines are rented for work that may run on
+#: spot ones
+DEAR_LACK = 0.03
 #: boots longer than this many times the usual are given up
 BOOT_PATIENCE = 3.0
 
@@ -186,8 +192,9 @@
     reserved: dict[str, str] = {}
 
 
-def _array_target(loads: list[Load], boot_s: float, tuning: Tuning) -> float:
-    """Cpus needed so that the work at hand is done well before it is due."""
+def _array_target(loads: list[Load], boot_s: float, tuning: Tuning, lead: float = 1e9) -> float:
+    """Cpus needed so that the work at hand is done well before it is due, though not before
+    ``lead`` run times ahead of that."""
     target = 0.0
     for x in loads:
         c = x.spec.cpus
@@ -196,6 +203,8 @@
             # What can no longer be done in time is served last; it need not be hurried.
             lost = x.due < 0.3 * x.run_s
             time = 3.0 * (boot_s + x.run_s) if lost else max(tuning.haste * x.due, x.run_s)
+            if not lost:
+                time = max(time, x.due - lead * x.run_s)
             target += min(x.pending * x.run_s / time, x.wide) * c
     return target * (1 + tuning.margin)
 
@@ -257,16 +266,21 @@
 
         Those that are soonest empty go first, and of these the ones in the gang's own part."""
         options = [k for k in kinds(spec, types) if not refused(k)]
-        fits = [
-            m
-            for m in soonest(part)
-            if m.name not in used
-            and spec.may_run_on(m.type.name, m.zone, m.spot)
-            and per_machine(m.type, spec.need)
-        ]
+        #: tasks that a machine of a kind holds, counted once per kind
+        holds: dict[tuple[str, str, bool], int] = {}
+        fits: list[Have] = []
         room: dict[str, int] = {}
-        for m in fits:
-            room[m.zone] = room.get(m.zone, 0) + per_machine(m.type, spec.need)
+        for m in soonest(part):
+            if m.name in used:
+                continue
+            kind = (m.type.name, m.zone, m.spot)
+            k = holds.get(kind, -1)
+            if k < 0:
+                k = per_machine(m.type, spec.need) if spec.may_run_on(*kind) else 0
+                holds[kind] = k
+            if k:
+                fits.append(m)
+                room[m.zone] = room.get(m.zone, 0) + k
         most = n
         if spec.one_zone:
             zones = {k.zone for k in options} | set(room)
@@ -313,6 +327,8 @@
             set_aside(spec, n * spec.tasks, -1, aside)
 
     target = _array_target(arrays, boot, tuning)
+    #: the share of it that is worth ordinary machines where the work may run on spot ones
+    dear = _array_target(arrays, boot, tuning, DEAR_LEAD) / target if target > 0 else 1.0
     if arrays or usual:
         target += tuning.reserve * usual
     capacity = sum(m.type.cpus for m in machines if m.name not in used)
@@ -347,6 +363,12 @@
             # A machine much larger than what lacks would stand half empty.
             if k.type.cpus > 2 * lack and k is not options[-1] and not k.spot:
                 continue
+            if not k.spot and widest.spec.spot and out.capacity > 0:
+                lack = dear * target - capacity
+                if lack < DEAR_LACK * out.capacity:
+                    # Neither work that has time left nor noise in the need of a large fleet is
+                    # worth a dear machine.
+                    break
             # Less than half a machine is not worth one, unless there is none at all.
             n = round(lack / k.type.cpus)
             if out.capacity <= 0:
