--- a/marblestair/core/flow.py
+++ b/marblestair/core/flow.py
@@ -26,8 +26,6 @@
         self._sleeping: list[tuple[float, int]] = []
         self.calls: list[tuple[int, Call]] = []
         self.now = 0.0
-        #: when the next sleeping flow is to be woken
-        self.due = float("inf")
         #: told of a flow that ended by an error, which must not end the process
         self.on_error: Callable[[BaseException], None] | None = None
 
@@ -64,7 +62,6 @@
         due = [c for t, c in self._sleeping if t <= now]
         if due:
             self._sleeping = [s for s in self._sleeping if s[0] > now]
-            self.due = min((t for t, _ in self._sleeping), default=float("inf"))
             for call in due:
                 self.complete(call, None)
 
@@ -82,8 +79,6 @@
         self._next += 1
         self._waiting[n] = flow
         if isinstance(call, Sleep):
-            at = self.now + call.seconds
-            self._sleeping.append((at, n))
-            self.due = min(self.due, at)
+            self._sleeping.append((self.now + call.seconds, n))
         else:
             self.calls.append((n, call))
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -86,8 +86,7 @@
         self._asks: dict[int, Any] = {}
         self._next = 1
         self._tasks: set[asyncio.Task[None]] = set()
-        self._armed = float("inf")
-        self._timer: asyncio.TimerHandle | None = None
+        self._flushing = False
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -154,25 +153,6 @@
         lines, core.lines = core.lines, []
         for level, text in lines:
             log.log(_LEVELS.get(level, logging.INFO), "%s", text)
-        self._arm()
-
-    def _arm(self) -> None:
-        """Wake sleeping flows when they are due: ticks are as far apart as reports are, and what
-        a flow waits for is often a matter of some hundredths of a second."""
-        due = self.core.runner.due
-        if due >= self._armed:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._armed = due
-        pause = max(0.01, due - time.monotonic())
-        self._timer = asyncio.get_running_loop().call_later(pause, self._wake)
-
-    def _wake(self) -> None:
-        self._armed, self._timer = float("inf"), None
-        self._time()
-        self.core.runner.wake(self.core.now)
-        self._flush()
 
     async def _carry_out(self, n: int, call: Call) -> None:
         result: Any
