--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,8 @@
 import msgspec
 import pytest
 
+from marblestair.core import keys
+from marblestair.core.calls import ListKeys
 from marblestair.core.model import MachineType
 from marblestair.core.part import Machine, Slice
 from tests.fakes.world import Worker, World, spec
@@ -282,3 +284,71 @@
     core.dispatch.fill(part, m)
     # A quarter of 64 for the first helpings, a task for each that got none; then the usual order.
     assert [len(s.placed) for s in part.slices.values()] == [18, 6, 1, 1, 1, 1, 1, 1]
+
+
+@pytest.mark.parametrize("over", [0, 5000])
+def test_starting_does_not_read_the_jobs_that_are_over(over: int) -> None:
+    w = fleet(27, 60)
+    jobs = fill(w, 1, 12, 40, estimate_s=40.0)
+    w.run(15.0)
+    for n in range(500_000, 500_000 + over):
+        w.state.rev += 1
+        w.state.data[f"{keys.FINALS}job-{n:06d}"] = ("done", w.state.rev, None)
+    reads: list[Any] = []
+    plain = w.state.execute
+
+    def execute(call: Any, node: str, now: float) -> Any:
+        out = plain(call, node, now)
+        if isinstance(call, ListKeys):
+            reads.append(len(out.items))
+        return out
+
+    w.state.execute = execute  # type: ignore[method-assign]
+    for x in w.node_names:
+        w.kill(x, back_after=1.0)
+    w.run(4.0)
+    # Ready in a bounded time, from what is live only.
+    assert {p.number for c in w.cores.values() if c for p in c.acting()} == {0, 1, 2}
+    assert len(reads) < 40 and sum(reads) < 1500, (len(reads), sum(reads))
+    # What is over is read when somebody asks for it.
+    if over:
+        w.specs["job-500007"] = spec(500_007, tasks=0)
+        assert w.state_of("job-500007") == "done"
+    settled(w, jobs, 300.0)
+
+
+def test_the_state_service_sees_a_bounded_number_of_changes_a_job() -> None:
+    seen = {}
+    for machines in (60, 240):
+        w = fleet(28, machines)
+        fill(w, 900, 4, 100, estimate_s=6.0)
+        w.run(40.0)
+        before, rented = w.state.writes, len(w.workers)
+        jobs = fill(w, 1, 30, 60, estimate_s=6.0, deadline_s=60.0)
+        assert all(w.finish(j, 200.0) for j in jobs)
+        w.run(10.0)
+        # Beside the jobs: two changes of a machine's own key, and of a rental's.
+        others = 4 * (len(w.workers) - rented) + sum(m.deleted for m in w.workers.values())
+        seen[machines] = (w.state.writes - before - others) / len(jobs)
+        assert not w.broken and not w.state.refused
+    # Accepted once, ended in two; what each of three parts has done, a few times, and its removal.
+    assert max(seen.values()) < 3 + 3 * 6, seen
+    assert seen[240] < 1.3 * max(seen[60], 6.0), seen
+
+
+@pytest.mark.parametrize(
+    ("nodes", "machines", "report_s", "lease_s"),
+    [(1, 1, 1.0, 4.0), (2, 5, 5.0, 12.0), (5, 40, 0.5, 20.0), (7, 120, 2.5, 15.25)],
+)
+def test_deployments_of_any_sane_size_and_pace(
+    nodes: int, machines: int, report_s: float, lease_s: float
+) -> None:
+    pace = dict(WORKERS, report_s=report_s, lease_s=lease_s)
+    w = fleet(
+        29, machines, nodes, workers=pace, teams=[{"name": "red", "cpus": 8, "cpus_max": 999}]
+    )
+    jobs = [w.submit(spec(n, tasks=machines + 3, estimate_s=3.0, mem_gb=0.5)) for n in range(1, 5)]
+    w.run(10.0)
+    w.kill("n0", back_after=2.0)
+    assert all(w.finish(j, 300.0) for j in jobs)
+    assert not w.broken and not w.state.refused
