--- a/marblestair/core/byrecord.py
+++ b/marblestair/core/byrecord.py
@@ -39,12 +39,12 @@
         The answer waits until every controller that may still act has surely seen the entry: a
         node acts only on a view younger than a worker's lease, or on promises of all others."""
         c = self.c
-        state = yield from c.jobs.fresh(job)
+        state = yield from c.answers.fresh(job)
         if state is None or state[0] in ("done", "unknown"):
             return "done" if state is not None and state[0] == "done" else None
         rec = c.view.jobs.get(job)
         if rec is None:
-            return c.jobs.finals.get(job)
+            return c.answers.finals.get(job)
         if not rec.cancelled:
             key = keys.JOBS + job
             new = msgspec.structs.replace(
@@ -111,7 +111,7 @@
                 else:
                     # One record that has moved on must not hold up the others.
                     for put in puts:
-                        yield from c.jobs.fresh(put.key[len(keys.JOBS) :])
+                        yield from c.answers.fresh(put.key[len(keys.JOBS) :])
                     yield Sleep(0.3)
         finally:
             self._writing.discard(p.number)
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from marblestair.core import keys
+from marblestair.core.answers import Answers
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
@@ -131,6 +132,7 @@
         #: room lowered ahead of a commit that gives it to another part
         self.lowered: dict[tuple[int, str], list[int]] = {}
         self.authority = Authority(self)
+        self.answers = Answers(self)
         self.jobs = Jobs(self)
         self.fleet = Fleet(self)
         self.migrations = Migrations(self)
@@ -578,7 +580,7 @@
         answer: Any = None
         try:
             if tag == "query":
-                answer = self.jobs.local_state(str(args[0]))
+                answer = self.answers.local(str(args[0]))
             elif tag == "cancel":
                 answer = yield from self.jobs.cancel_here(str(args[0]))
             elif tag == "apply":
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -14,11 +13,11 @@
 from marblestair.core import controller as api
 from marblestair.core import keys, split
 from marblestair.core.admission import Stage
+from marblestair.core.answers import UNKNOWN, State
 from marblestair.core.calls import (
     ACCEPT,
     FINAL,
     Commit,
-    Get,
     PeerCall,
     Put,
     Sleep,
@@ -35,15 +34,9 @@
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
 
-#: a state of a job as told to a user: state, done, running
-State = tuple[str, int | None, int | None]
-UNKNOWN: State = ("unknown", None, None)
-
-#: time for another controller to answer a query, within the 2 s that a user waits, and a cancel,
-#: within the 5 s; what is left of them is for the state service
-QUERY_PEER_S, CANCEL_PEER_S = 0.6, 2.5
-#: final states remembered per node; others are read from the state service
-REMEMBERED = 20_000
+#: time for another controller to answer a cancel, within the 5 s that a user waits; what is left
+#: of them is for the state service
+CANCEL_PEER_S = 2.5
 
 
 class PartReport(msgspec.Struct, array_like=True):
@@ -84,7 +77,6 @@
 
     def __init__(self, c: Controller) -> None:
         self.c = c
-        self.finals: OrderedDict[str, str] = OrderedDict()
         self.managed: dict[str, Managed] = {}
         self._told: dict[tuple[int, str], tuple[float, list[Any]]] = {}
         limits = c.settings.cluster.state
@@ -103,7 +95,7 @@
     def _submit(self, spec: JobSpec) -> Step:
         c = self.c
         job = spec.id
-        if job in self.finals or job in c.view.jobs:
+        if job in self.c.answers.finals or job in c.view.jobs:
             return (yield from self._known(job))
         if not c.types:
             return 503, UNKNOWN, "machine types are not known yet", 1
@@ -112,7 +104,7 @@
         if reason is None and too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION):
             reason = "the description is larger than what can be kept"
         if reason is not None:
-            state = yield from self._lookup(job)
+            state = yield from self.c.answers.lookup(job)
             if state is None:
                 return 503, UNKNOWN, "state service unavailable", 1
             if state == UNKNOWN:
@@ -129,7 +121,7 @@
             self.stage.leave()
 
     def _known(self, job: str) -> Step:
-        state = yield from self._lookup(job)
+        state = yield from self.c.answers.lookup(job)
         if state is None:
             return 503, UNKNOWN, "state not available", 1
         if state == UNKNOWN:
@@ -164,7 +156,7 @@
                 return 201, ("queued", 0, 0), "", 0
             if r.status in (0, 409):
                 # Perhaps an earlier try of ours, or of the user by way of another node.
-                state = yield from self._lookup(job)
+                state = yield from self.c.answers.lookup(job)
                 if state is None:
                     break
                 if state != UNKNOWN:
@@ -217,7 +209,7 @@
 
     def query(self, request: int, job: str) -> Flow:
         """GET of a job."""
-        state = yield from self._lookup(job)
+        state = yield from self.c.answers.lookup(job)
         if state is None:
             self._reply(request, job, 503, UNKNOWN, "state not available", 1)
         elif state == UNKNOWN:
@@ -229,10 +221,10 @@
         """POST of a cancel."""
         c = self.c
         state: State | None = None
-        if job not in self.finals and job not in c.view.jobs:
-            yield from self.fresh(job)
-        if job in self.finals:
-            state = (self.finals[job], None, None)
+        if job not in self.c.answers.finals and job not in c.view.jobs:
+            yield from self.c.answers.fresh(job)
+        if job in self.c.answers.finals:
+            state = (self.c.answers.finals[job], None, None)
         elif c.cut_off():
             state = None
         elif job in c.view.jobs:
@@ -247,7 +239,7 @@
             if isinstance(got, str) and got in ("done", "cancelled"):
                 state = (got, None, None)
         else:
-            state = yield from self._lookup(job)
+            state = yield from self.c.answers.lookup(job)
             if state == UNKNOWN:
                 self._reply(request, job, 404, UNKNOWN, "no such job", 0)
                 return
@@ -265,78 +257,6 @@
             api.Reply(request, status, job, state[0], state[1], state[2], error, retry)
         )
 
-    # --- states ----------------------------------------------------------------------------
-
-    def _final(self, job: str, state: str) -> None:
-        self.finals[job] = state
-        while len(self.finals) > REMEMBERED:
-            self.finals.popitem(last=False)
-
-    def local_state(self, job: str) -> list[Any] | None:
-        """The state of a job if this node may tell it."""
-        c = self.c
-        if job in self.finals:
-            return [self.finals[job], None, None]
-        rec = c.view.jobs.get(job)
-        if rec is None:
-            return None
-        if rec.cancelled:
-            return ["cancelled", None, None]
-        mj = self.managed.get(job)
-        if mj is None or mj.doubt or not c.acts(mj.part):
-            return None
-        done = running = 0
-        for r in mj.reports.values():
-            done += r.done
-            running += r.running
-        return ["running" if running or done else "queued", min(done, rec.spec.tasks), running]
-
-    def _lookup(self, job: str) -> Step:
-        """The state of any job: UNKNOWN, or None when it cannot be told now."""
-        c = self.c
-        local = self.local_state(job)
-        if local is not None:
-            return tuple(local)
-        rec = c.view.jobs.get(job)
-        if rec is not None:
-            owner = c.owner(rec.manager)
-            if owner is not None and owner != c.node and not c.cut_off():
-                got = yield PeerCall(owner, "query", [job], QUERY_PEER_S)
-                if isinstance(got, list) and len(got) == 3:
-                    if got[0] in ("done", "cancelled"):
-                        self._final(job, got[0])
-                    return tuple(got)
-        return (yield from self.fresh(job))
-
-    def fresh(self, job: str) -> Step:
-        """Read a job's state from the state service."""
-        c = self.c
-        if c.cut_off():
-            return None
-        r: StateResult = yield Get(keys.JOBS + job)
-        if r.status == 200:
-            c.view.take_in(keys.JOBS + job, r.value, r.version)
-            c.sync()
-            rec = msgspec.convert(r.value, JobRecord)
-            if rec.cancelled:
-                return ("cancelled", None, None)
-            mj = self.managed.get(job)
-            done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
-            return ("running", done, 0) if done else ("queued", 0, 0)
-        if r.status != 404:
-            return None
-        # In this order: a job that ends between the two reads moves from the first key to the
-        # second.
-        f: StateResult = yield Get(keys.FINALS + job)
-        if f.status == 200 and f.value in ("done", "cancelled"):
-            self._final(job, f.value)
-            return (f.value, None, None)
-        return UNKNOWN if f.status == 404 else None
-
-    def refresh(self, job: str) -> Step:
-        """Read a job's record afresh; whether that succeeded."""
-        return (yield from self.fresh(job)) is not None
-
     # --- the manager -----------------------------------------------------------------------
 
     def parts_changed(self) -> None:
@@ -469,15 +389,15 @@
                 if r.status == 200:
                     mj.doubt = False
                     if action in ("finish", "bury"):
-                        self._final(mj.job, final)
+                        self.c.answers.final(mj.job, final)
                     c.view.committed(commit, r.rev)
                     c.sync()
                 elif r.status == 409:
                     # The record moved on: by an earlier try of ours, or the part has a new
                     # owner. Whatever was in doubt is settled by reading it.
-                    if (yield from self.fresh(mj.job)) is not None:
+                    if (yield from self.c.answers.fresh(mj.job)) is not None:
                         mj.doubt = False
-                        if mj.job in self.finals:
+                        if mj.job in self.c.answers.finals:
                             c.view.drop(key)
                             c.sync()
                     yield Sleep(0.05)
@@ -524,7 +444,7 @@
         """A slice was moved here: the last change entry known of its job (Algorithm 4)."""
         c = self.c
         if c.view.version(keys.JOBS + job) < version:
-            yield from self.fresh(job)
+            yield from self.c.answers.fresh(job)
         rec = c.view.jobs.get(job)
         return len(rec.changes) if rec is not None else 0
 
@@ -540,8 +460,8 @@
         c = self.c
         until = c.now + 3.0
         while c.now < until:
-            if job in self.finals:
-                return self.finals[job]
+            if job in self.c.answers.finals:
+                return self.c.answers.finals[job]
             rec = c.view.jobs.get(job)
             mj = self.managed.get(job)
             if rec is None or mj is None or not c.acts(mj.part):
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -390,7 +390,7 @@
             if not here or not s.leaving or s.leaving_by != holder:
                 if released or not here:
                     return
-            elif released and (yield from c.jobs.refresh(job)):
+            elif released and (yield from c.answers.refresh(job)):
                 self._restore(part, s, holder)
                 return
             if job not in c.view.jobs:
@@ -486,7 +486,7 @@
                     c.sync()
                     return [r.rev]
                 if r.status == 409:
-                    if (yield from c.jobs.refresh(job)):
+                    if (yield from c.answers.refresh(job)):
                         mj.doubt = False
                         now = c.view.jobs.get(job)
                         if now is not None and now.slices == slices:
