Cancels are told only once every owner that may act has applied them

Cause: a poll, a lookup by a fresh read and a repeated submission took the entry in the record for enough, while an owner refused by the state service alone had not seen it, went on by promises, and told "running" after others had told "cancelled". Ruled out: the manager's own path, which had the entry applied by message already.

Now core/cancels.py follows each committed entry from commit to confirmation, asks every owner that can be reached, and counts on time only where no promise is outstanding; core/answers.py passes every answer through one function; a promise carries the cancels that the asker's view may lack, and is counted only after they are applied; a slice reported empty counts for a job's end only when its owner has applied the cancel. A controller whose renewals fail gives a cancel back at once, so that another writes the entry. After a takeover a cancel's time counts from before it.

--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -38,24 +38,34 @@
         while len(self.finals) > REMEMBERED:
             self.finals.popitem(last=False)
 
+    def may_tell(self, job: str, state: State | None) -> State | None:
+        """What may be told of a job that was found to be in a state; None when nothing may be.
+
+        Every answer to a user, whatever the request, passes here last. Between the commit of a
+        cancel and its confirmation neither "cancelled" nor what was before is told: another node
+        may have told the one already, and the other is not so yet."""
+        if job in self.finals:
+            return (self.finals[job], None, None)
+        if self.c.cancels.known(job):
+            return ("cancelled", None, None) if self.c.cancels.confirmed(job) else None
+        return state
+
     def local(self, job: str) -> list[Any] | None:
         """The state of a job if this node may tell it."""
+        state = self.may_tell(job, self._managed_state(job))
+        return None if state is None else list(state)
+
+    def _managed_state(self, job: str) -> State | None:
         c = self.c
-        if job in self.finals:
-            return [self.finals[job], None, None]
         rec = c.view.jobs.get(job)
-        if rec is None:
-            return None
-        if rec.cancelled:
-            return ["cancelled", None, None]
         mj = c.jobs.managed.get(job)
-        if mj is None or mj.doubt or not c.acts(mj.part):
+        if rec is None or mj is None or mj.doubt or not c.acts(mj.part):
             return None
         done = running = 0
         for r in mj.reports.values():
             done += r.done
             running += r.running
-        return ["running" if running or done else "queued", min(done, rec.spec.tasks), running]
+        return ("running" if running or done else "queued", min(done, rec.spec.tasks), running)
 
     def lookup(self, job: str) -> Step:
         """The state of any job: UNKNOWN, or None when it cannot be told now."""
@@ -64,6 +74,7 @@
         if local is not None:
             return tuple(local)
         rec = c.view.jobs.get(job)
+        c.cancels.carry(job)
         if rec is not None:
             owner = c.owner(rec.manager)
             if owner is not None and owner != c.node and not c.cut_off():
@@ -71,11 +82,24 @@
                 if isinstance(got, list) and len(got) == 3:
                     if got[0] in ("done", "cancelled"):
                         self.final(job, got[0])
-                    return tuple(got)
+                    told = self.may_tell(job, (str(got[0]), got[1], got[2]))
+                    if told is not None:
+                        return told
         return (yield from self.fresh(job))
 
     def fresh(self, job: str) -> Step:
-        """Read a job's state from the state service."""
+        """A job's state from a fresh read: UNKNOWN, or None when it cannot be told now."""
+        c = self.c
+        found = yield from self.read(job)
+        if found is None or found == UNKNOWN:
+            return found
+        mj = c.jobs.managed.get(job)
+        done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
+        return self.may_tell(job, ("running", done, 0) if done else ("queued", 0, 0))
+
+    def read(self, job: str) -> Step:
+        """Read a job's record, or final state, afresh: its state as kept, UNKNOWN, or None when
+        it could not be read. It is taken in, not told."""
         c = self.c
         if c.cut_off():
             return None
@@ -84,11 +108,7 @@
             c.view.take_in(keys.JOBS + job, r.value, r.version)
             c.sync()
             rec = msgspec.convert(r.value, JobRecord)
-            if rec.cancelled:
-                return ("cancelled", None, None)
-            mj = c.jobs.managed.get(job)
-            done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
-            return ("running", done, 0) if done else ("queued", 0, 0)
+            return ("cancelled" if rec.cancelled else "queued", None, None)
         if r.status != 404:
             return None
         # In this order: a job that ends between the two reads moves from the first key to the
@@ -101,4 +121,4 @@
 
     def refresh(self, job: str) -> Step:
         """Read a job's record afresh; whether that succeeded."""
-        return (yield from self.fresh(job)) is not None
+        return (yield from self.read(job)) is not None
--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from marblestair.core import keys, split
 from marblestair.core.calls import (
@@ -35,6 +35,8 @@
 ISOLATED = 0.35
 #: share of a node's requests to the state service that its watch may take
 WATCH_SHARE = 0.2
+#: a node's leases within which a part of a node that fell has a new owner, as a rule
+TAKEOVER_LEASES = 1.6
 #: a node must have been seen this many leases before it is given a part back
 SETTLE = 1.5
 
@@ -46,6 +48,7 @@
         self.c = c
         workers = c.settings.cluster.workers
         self.ttl = min(600.0, max(0.5, workers.lease_s * LEASE_RATIO))
+        self.takeover_s = TAKEOVER_LEASES * self.ttl
         self.until = -1e9
         #: revision of the commit that put this node's key; the view must include it
         self.key_rev = 0
@@ -65,7 +68,7 @@
         self.trusted_until = -1e9
         #: when a renewal last succeeded, and whether the latest one did
         self.renewed = -1e9
-        self._failing = False
+        self.failing = False
         #: version of the split at which a takeover was sent whose fate is unknown
         self._take_doubt = -1
 
@@ -165,7 +168,7 @@
                 elif r.status == 404:
                     self.lease = None
                     continue
-            self._failing = r.status != 200
+            self.failing = r.status != 200
             pause = self.ttl / 4 if r.status == 200 else self.ttl / 12
             yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
 
@@ -181,15 +184,18 @@
         while True:
             yield Sleep(self.ttl / 8)
             now = c.now
-            failing = self._failing and now - self.renewed > 0.3 * self.ttl
+            failing = self.failing and now - self.renewed > 0.3 * self.ttl
             if not failing or not c.parts or not self.holds(now):
                 continue
             if self.trusted_until - now > 0.6 * self.ttl or not c.settings.others:
                 continue
             for p in c.settings.others:
-                got = yield PeerCall(p.node, "promise", [c.node, c.incarnation], 0.5)
-                if got is not True:
+                ask = [c.node, c.incarnation, c.view.rev]
+                got = yield PeerCall(p.node, "promise", ask, 0.5)
+                if not isinstance(got, list):
                     break
+                for job, rev in got:
+                    c.cancels.learn(str(job), int(rev))
             else:
                 if self.holds(c.now):
                     before = self.trusted_until
@@ -198,20 +204,26 @@
                     if before < now:
                         c.log("info", "the state service is out of reach: acting on promises")
 
-    def promise(self, node: str, incarnation: int) -> bool:
-        """Promise not to take a node's parts for a lease's time, unless this node might."""
+    def promise(self, node: str, incarnation: int, rev: int) -> list[list[Any]] | None:
+        """Promise not to take a node's parts for a lease's time, unless this node might.
+
+        With the promise go the cancels that a view of the asker's revision may lack; it counts
+        the promise only after it has applied them. So an owner that acts on promises has applied
+        each cancel that any other node can have confirmed. None: no promise."""
         c = self.c
         s = c.view.split
         now = c.now
-        if s is None or not self.booted or not self._failing or self._taking:
-            return False
+        if s is None or not self.booted or not self.failing or self._taking:
+            return None
         if self._take_doubt == c.view.version(keys.SPLIT):
             # A takeover was sent and may yet be carried out.
-            return False
+            return None
         if c.view.nodes.get(node) != incarnation:
-            return False
-        self.promised[node] = now + self.ttl
-        return True
+            return None
+        entries = c.cancels.later_than(rev)
+        if entries is not None:
+            self.promised[node] = now + self.ttl
+        return entries
 
     def bound(self, node: str, now: float) -> bool:
         """Whether a node may be acting on a promise given here, also before a restart."""
--- a/marblestair/core/byrecord.py
+++ b/marblestair/core/byrecord.py
@@ -1,9 +1,9 @@
 """What goes by way of the state service when controllers cannot reach one another.
 
 A refused or silent connection shows nothing about the controller behind it: it may well hold its
-lease and act. So nothing is taken from it. A cancel's entry is committed to the job's record,
-where every owner finds it by its watch; and an owner whose manager hears nothing records there
-that its slice is complete.
+lease and act. So nothing is taken from it. A cancel's entry is committed to the job's record
+(`core/cancels.py`), and an owner whose manager hears nothing records there that its slice is
+complete.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 import msgspec
 
 from marblestair.core import keys
-from marblestair.core.calls import ACCEPT, FINAL, Commit, Put, Sleep, StateResult
-from marblestair.core.flow import Flow, Step
+from marblestair.core.calls import FINAL, Commit, Put, Sleep, StateResult
+from marblestair.core.flow import Flow
 from marblestair.core.part import Part
 
 if TYPE_CHECKING:
@@ -29,44 +29,8 @@
 
     def __init__(self, c: Controller) -> None:
         self.c = c
-        #: job -> when this node first knew that its cancel is committed
-        self._cancelled: dict[str, float] = {}
         self._writing: set[int] = set()
 
-    def cancel(self, job: str) -> Step:
-        """Cancel a job whose manager does not answer: 'cancelled', 'done', or None for now.
-
-        The answer waits until every controller that may still act has surely seen the entry: a
-        node acts only on a view younger than a worker's lease, or on promises of all others."""
-        c = self.c
-        state = yield from c.answers.fresh(job)
-        if state is None or state[0] in ("done", "unknown"):
-            return "done" if state is not None and state[0] == "done" else None
-        rec = c.view.jobs.get(job)
-        if rec is None:
-            return c.answers.finals.get(job)
-        if not rec.cancelled:
-            key = keys.JOBS + job
-            new = msgspec.structs.replace(
-                rec, changes=[*rec.changes, ["cancel", len(rec.changes) + 1]]
-            )
-            commit = Commit([(key, c.view.version(key))], [Put(key, new)], [], ACCEPT)
-            r: StateResult = yield commit
-            if r.status != 200:
-                # In doubt or outrun: the next request reads the record afresh.
-                return None
-            c.view.committed(commit, r.rev)
-            c.sync()
-        then = self._cancelled.setdefault(job, c.now)
-        while len(self._cancelled) > 1000:
-            self._cancelled.pop(next(iter(self._cancelled)))
-        if c.now - then <= 1.1 * c.settings.cluster.workers.lease_s:
-            return None
-        s = c.view.split
-        if s is None or any(c.authority.bound(s.parts[int(p)].owner, c.now) for p in rec.slices):
-            return None
-        return "cancelled"
-
     def tick(self, acting: list[Part]) -> None:
         """Record complete slices whose managers hear nothing."""
         c = self.c
@@ -111,7 +75,7 @@
                 else:
                     # One record that has moved on must not hold up the others.
                     for put in puts:
-                        yield from c.answers.fresh(put.key[len(keys.JOBS) :])
+                        yield from c.answers.read(put.key[len(keys.JOBS) :])
                     yield Sleep(0.3)
         finally:
             self._writing.discard(p.number)
--- /dev/null
+++ b/marblestair/core/cancels.py
@@ -0,0 +1,219 @@
+"""Cancels from the commit of their entry until users may be told.
+
+Three moments differ. A cancel is *committed* once its entry is in the job's change list, *applied*
+once every controller that may act for a slice of the job has the entry (it launches nothing more
+of the job and has begun to stop it), and *confirmed* once a user may be told. The paper's
+coordinator (Algorithm 3) releases its exclusive lock only after the change was made at every
+active server; here nobody tells of a cancel before that, whoever is asked and by whichever
+request. An owner that may act is one that holds its lease and a recent enough view, or promises of
+all the others:
+
+- by lease, it acts on a view younger than a worker's lease, so an entry older than that is in it;
+- by promises, it has from every promise the entries that its giver knew (Algorithm 4's transfer
+  of missing entries), so whoever confirms a cancel by the passing of time must have no promise
+  outstanding that was given before the entry was known.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.calls import ACCEPT, Commit, PeerCall, Put, Sleep, StateResult
+from marblestair.core.flow import Flow, Step
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: leases of a worker after which a view that is acted on must hold an entry
+OVER_LEASES = 1.1
+#: time for another controller to apply an entry
+APPLY_PEER_S = 0.8
+#: leases of a worker for which an application is carried on without anybody asking
+CARRY_LEASES = 2.5
+#: applications carried on at once that nobody waits for
+MOST_CARRIED = 64
+#: entries in one promise; a node that lacks more than these gets none, and its lease ends
+MOST_ENTRIES = 1000
+
+
+class Entry:
+    """The cancel of one job, as far as this node knows."""
+
+    __slots__ = ("applied", "carried", "confirmed", "rev", "since")
+
+    def __init__(self, rev: int, now: float) -> None:
+        #: a revision at which the record held the entry
+        self.rev = rev
+        #: when this node first knew of it
+        self.since = now
+        #: part -> term under which its owner said that it has the entry
+        self.applied: dict[int, int] = {}
+        #: users may be told
+        self.confirmed = False
+        #: somebody here is at it
+        self.carried = False
+
+
+class Cancels:
+    """What one node knows of committed cancels, and how it has them applied."""
+
+    def __init__(self, c: Controller) -> None:
+        self.c = c
+        self._entries: dict[str, Entry] = {}
+
+    # --- what is known ---------------------------------------------------------------------
+
+    def known(self, job: str) -> bool:
+        """Whether a cancel of the job is committed, by the view or ahead of it."""
+        return job in self._entries
+
+    def learn(self, job: str, rev: int) -> Entry:
+        """A cancel is committed: apply it to all that is held here, now and later."""
+        c = self.c
+        e = self._entries.get(job)
+        if e is None:
+            e = self._entries[job] = Entry(rev, c.now)
+            for p in c.parts.values():
+                p.cancel(job, c.now)
+        return e
+
+    def changed(self, job: str) -> None:
+        """A job's record changed in the view."""
+        rec = self.c.view.jobs.get(job)
+        if rec is None:
+            e = self._entries.get(job)
+            if e is not None and self.c.view.rev >= e.rev:
+                # Buried; its final state tells the rest.
+                del self._entries[job]
+        elif rec.cancelled:
+            self.learn(job, self.c.view.version(keys.JOBS + job))
+
+    def prune(self) -> None:
+        """Forget entries of jobs that are over, which came late or ahead of the view."""
+        c = self.c
+        for job in [j for j, e in self._entries.items() if e.rev <= c.view.rev]:
+            if job not in c.view.jobs:
+                del self._entries[job]
+
+    # --- what may be told ------------------------------------------------------------------
+
+    def missing(self, job: str) -> list[int] | None:
+        """Parts whose owners may act without the entry; None when that cannot be told, because
+        owners may have changed before the entry was committed and are not in the view yet."""
+        c = self.c
+        e, rec, s = self._entries.get(job), c.view.jobs.get(job), c.view.split
+        if e is None or rec is None or s is None or c.view.rev < e.rev:
+            return None
+        over = c.now - e.since > OVER_LEASES * c.settings.cluster.workers.lease_s
+        out = []
+        for name in rec.slices:
+            part = s.parts[int(name)]
+            if (part.owner, part.incarnation) == c.me or e.applied.get(int(name)) == part.term:
+                continue
+            if not (over and not c.authority.bound(part.owner, c.now)):
+                out.append(int(name))
+        return out
+
+    def confirmed(self, job: str) -> bool:
+        """Whether users may be told that the job is cancelled."""
+        e = self._entries.get(job)
+        if e is None:
+            return False
+        if not e.confirmed and self.missing(job) == []:
+            self.confirm(job, e.rev)
+            for peer in self.c.settings.others:
+                self.c.tell(peer.node, "confirmed", [job, e.rev])
+        return e.confirmed
+
+    def confirm(self, job: str, rev: int) -> None:
+        """A user may be told, here or by another node that has said so."""
+        self.learn(job, rev).confirmed = True
+
+    # --- having it applied -----------------------------------------------------------------
+
+    def apply(self, job: str, rev: int) -> list[list[int]]:
+        """Another node asks to apply an entry: the parts and terms for which that is done."""
+        self.learn(job, rev)
+        return [[p.number, p.term] for p in self.c.acting()]
+
+    def ask(self, job: str) -> Step:
+        """Have every owner that may lack the entry apply it, those that were heard first;
+        whether the cancel is confirmed."""
+        c = self.c
+        s, e = c.view.split, self._entries.get(job)
+        nodes: dict[str, None] = {}
+        for p in self.missing(job) or ():
+            if s is not None:
+                nodes[s.parts[p].owner] = None
+        for node in sorted(nodes, key=lambda n: (-c.heard.get(n, -1e9), n)):
+            if e is None or node == c.node:
+                continue
+            got = yield PeerCall(node, "apply", [job, e.rev], APPLY_PEER_S)
+            for pair in got if isinstance(got, list) else ():
+                e.applied[int(pair[0])] = int(pair[1])
+        return self.confirmed(job)
+
+    def settle(self, job: str, most_s: float) -> Step:
+        """Have a committed cancel applied within some time; whether it is confirmed."""
+        c = self.c
+        until = c.now + most_s
+        while self.known(job):
+            if (yield from self.ask(job)):
+                return True
+            if c.now >= until:
+                self.carry(job)
+                return False
+            yield Sleep(0.05)
+        return False
+
+    def carry(self, job: str) -> None:
+        """Go on with it while nobody waits, for a bounded time."""
+        e = self._entries.get(job)
+        if e is None or e.confirmed or e.carried:
+            return
+        mj = self.c.jobs.managed.get(job)
+        if mj is not None and mj.editing:
+            return
+        if sum(x.carried for x in self._entries.values()) < MOST_CARRIED:
+            e.carried = True
+            self.c.spawn(self._carry(job, e))
+
+    def _carry(self, job: str, e: Entry) -> Flow:
+        c = self.c
+        until = c.now + CARRY_LEASES * c.settings.cluster.workers.lease_s
+        try:
+            while self._entries.get(job) is e and c.now < until and not e.confirmed:
+                if (yield from self.ask(job)):
+                    return
+                yield Sleep(0.5)
+        finally:
+            e.carried = False
+
+    def enter(self, job: str) -> Step:
+        """Commit the entry by way of the record, where the manager is not heard.
+
+        A refused or silent connection shows nothing about the controller behind it, so nothing
+        is taken from it; every owner that can read finds the entry by its watch."""
+        c = self.c
+        state = yield from c.answers.read(job)
+        rec = c.view.jobs.get(job)
+        if state is None or rec is None or rec.cancelled:
+            return
+        key = keys.JOBS + job
+        new = msgspec.structs.replace(rec, changes=[*rec.changes, ["cancel", len(rec.changes) + 1]])
+        commit = Commit([(key, c.view.version(key))], [Put(key, new)], [], ACCEPT)
+        r: StateResult = yield commit
+        if r.status == 200:
+            c.view.committed(commit, r.rev)
+            c.sync()
+        # In doubt or outrun: the next request reads the record afresh.
+
+    # --- promises --------------------------------------------------------------------------
+
+    def later_than(self, rev: int) -> list[list[Any]] | None:
+        """Entries that a view of some revision may lack; None when they are too many."""
+        out: list[list[Any]] = [[j, e.rev] for j, e in self._entries.items() if e.rev > rev]
+        return out if len(out) <= MOST_ENTRIES else None
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -17,6 +17,7 @@
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
+from marblestair.core.cancels import Cancels
 from marblestair.core.dispatch import Dispatch
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
@@ -133,6 +134,7 @@
         self.lowered: dict[tuple[int, str], list[int]] = {}
         self.authority = Authority(self)
         self.answers = Answers(self)
+        self.cancels = Cancels(self)
         self.jobs = Jobs(self)
         self.fleet = Fleet(self)
         self.migrations = Migrations(self)
@@ -151,6 +153,10 @@
     def _flow_error(self, e: BaseException) -> None:
         self.log("error", f"a flow ended by {type(e).__name__}: {e}")
 
+    def tell(self, node: str, tag: str, args: list[Any]) -> None:
+        """Send a one-way message to another controller."""
+        self.notes.append(Note(node, tag, args))
+
     def spawn(self, flow: Flow) -> None:
         """Start a flow."""
         self.runner.spawn(flow)
@@ -253,6 +259,7 @@
         if v.changed_jobs:
             ids, v.changed_jobs = v.changed_jobs, set()
             for job in sorted(ids):
+                self.cancels.changed(job)
                 for p in self.parts.values():
                     if p.ready:
                         self._sync_slice(p, job)
@@ -310,6 +317,9 @@
                 s.load_done(page, bits)
         for s in part.slices.values():
             s.suspect = bool(part.suspects)
+            if s.cancelled:
+                # Users may have been told before the earlier owner fell.
+                s.cancelled_at = now - self.authority.takeover_s
         part.ready = True
         self.log(
             "info",
@@ -340,6 +350,9 @@
         if rec is None and s is not None:
             p.trash += [keys.progress(p.number, job, page) for page in s.pages]
         p.sync_job(rec, job, self.view.version(keys.JOBS + job), self.now)
+        if job in p.slices and self.cancels.known(job):
+            # Known ahead of the view: a slice that comes by an older record is over too.
+            p.cancel(job, self.now)
         if s is None and job in p.slices:
             self.dispatch.fresh.add(p.number)
 
@@ -429,6 +442,7 @@
                 self.migrations.lend(p)
         if now >= self._next_slow:
             self._next_slow = now + 1.0
+            self.cancels.prune()
             self.jobs.rebalance(acting)
 
     def _tell(self, acting: list[Part]) -> None:
@@ -439,7 +453,7 @@
             told.append(msgspec.to_builtins(g))
         args = [self.incarnation, told, not self.isolated(self.now), self.fleet.refusals()]
         for peer in self.settings.others:
-            self.notes.append(Note(peer.node, "gossip", args))
+            self.tell(peer.node, "gossip", args)
 
     def measure(self, p: Part) -> Gossip:
         """What the others should know about a part."""
@@ -567,6 +581,8 @@
                 self.fleet.told_refusals(args[3])
             elif tag == "progress":
                 self.jobs.told(args)
+            elif tag == "confirmed":
+                self.cancels.confirm(str(args[0]), int(args[1]))
         except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag} from {node}: {e}")
 
@@ -584,17 +600,17 @@
             elif tag == "cancel":
                 answer = yield from self.jobs.cancel_here(str(args[0]))
             elif tag == "apply":
-                answer = self.jobs.apply_cancel(str(args[0]), int(args[1]))
+                answer = self.cancels.apply(str(args[0]), int(args[1]))
             elif tag in ("lock", "update", "release"):
                 answer = yield from self.migrations.answer(tag, args)
             elif tag == "status":
                 answer = self.status()
             elif tag == "promise":
-                answer = self.authority.promise(str(args[0]), int(args[1]))
+                answer = self.authority.promise(str(args[0]), int(args[1]), int(args[2]))
             elif tag == "arrive":
                 answer = yield from self.jobs.arrive(str(args[0]), int(args[1]))
             elif tag == "entries":
-                answer = self.jobs.entries(str(args[0]), list(args[2]))
+                answer = self.jobs.entries(str(args[0]), list(args[2]), int(args[3]))
         except (IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag}: {e}")
         self.peer_replies.append((request, answer))
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -37,6 +37,8 @@
 #: time for another controller to answer a cancel, within the 5 s that a user waits; what is left
 #: of them is for the state service
 CANCEL_PEER_S = 2.5
+#: time for the owners of slices to apply a cancel that is entered by way of the record
+SETTLE_S = 1.0
 
 
 class PartReport(msgspec.Struct, array_like=True):
@@ -50,6 +52,8 @@
     #: tasks on machines or perhaps so; -1 while that is not known
     placed: int
     size: int
+    #: the owner has applied the job's cancel
+    over: bool = False
 
 
 class Managed:
@@ -61,13 +65,9 @@
         self.locks = ServerManager({int(p) for p in rec.slices})
         self.reports: dict[int, PartReport] = {}
         self.want_cancel = False
-        #: part -> term under which its owner has applied the cancel
-        self.applied: dict[int, int] = {}
         self.editing = False
         #: a change of the slices is being committed
         self.moving = False
-        #: when the cancel was first seen committed
-        self.cancel_seen: float | None = None
         #: a change of the record was sent and its fate is unknown: nothing is told meanwhile
         self.doubt = False
 
@@ -222,7 +222,7 @@
         c = self.c
         state: State | None = None
         if job not in self.c.answers.finals and job not in c.view.jobs:
-            yield from self.c.answers.fresh(job)
+            yield from self.c.answers.read(job)
         if job in self.c.answers.finals:
             state = (self.c.answers.finals[job], None, None)
         elif c.cut_off():
@@ -234,10 +234,16 @@
                 got = yield from self.cancel_here(job)
             elif owner is not None:
                 got = yield PeerCall(owner, "cancel", [job], CANCEL_PEER_S)
-            if not isinstance(got, str) and owner != c.node:
-                got = yield from c.byrecord.cancel(job)
-            if isinstance(got, str) and got in ("done", "cancelled"):
-                state = (got, None, None)
+            if got not in ("done", "cancelled") and owner != c.node:
+                # The manager is not heard, or cannot write: by way of the record.
+                if not c.cancels.known(job):
+                    yield from c.cancels.enter(job)
+                if (yield from c.cancels.settle(job, SETTLE_S)):
+                    got = "cancelled"
+                elif job in c.answers.finals:
+                    got = c.answers.finals[job]
+            if got in ("done", "cancelled"):
+                state = (str(got), None, None)
         else:
             state = yield from self.c.answers.lookup(job)
             if state == UNKNOWN:
@@ -320,7 +326,8 @@
             return False
         for name in rec.slices:
             r = mj.reports.get(int(name))
-            if r is None or r.term != s.parts[int(name)].term or r.placed != 0:
+            # What was told before the cancel was applied says nothing of what started since.
+            if r is None or r.term != s.parts[int(name)].term or r.placed != 0 or not r.over:
                 return False
         return True
 
@@ -330,30 +337,13 @@
             # either found applied or can never be.
             return "touch"
         if rec.cancelled:
-            if self._unapplied(mj, rec):
+            if not self.c.cancels.confirmed(mj.job):
                 return "apply"
             return "bury" if self._empty(mj, rec) else None
         if self._complete(mj, rec):
             return "finish"
         return "cancel" if mj.want_cancel else None
 
-    def _unapplied(self, mj: Managed, rec: JobRecord) -> list[int]:
-        c = self.c
-        s = c.view.split
-        assert s is not None
-        if mj.cancel_seen is None:
-            mj.cancel_seen = c.now
-        # A node acts only on a view younger than a worker's lease, so after that long every
-        # node that still acts has seen the cancel, even one that this node cannot reach.
-        # Unless it acts on a promise given by this one.
-        seen = c.now - mj.cancel_seen > c.settings.cluster.workers.lease_s * 1.1
-        return [
-            int(p)
-            for p in rec.slices
-            if mj.applied.get(int(p)) != s.parts[int(p)].term
-            and not (seen and not c.authority.bound(s.parts[int(p)].owner, c.now))
-        ]
-
     def _edit(self, mj: Managed) -> Flow:
         """Carry a managed job on: finish, cancel (Algorithm 3), bury. One at a time per job."""
         c = self.c
@@ -369,7 +359,7 @@
                     yield Sleep(0.05)
                     continue
                 if action == "apply":
-                    if not (yield from self._apply(mj, rec)):
+                    if not (yield from c.cancels.ask(mj.job)):
                         yield Sleep(0.3)
                     continue
                 key = keys.JOBS + mj.job
@@ -395,7 +385,7 @@
                 elif r.status == 409:
                     # The record moved on: by an earlier try of ours, or the part has a new
                     # owner. Whatever was in doubt is settled by reading it.
-                    if (yield from self.c.answers.fresh(mj.job)) is not None:
+                    if (yield from self.c.answers.refresh(mj.job)):
                         mj.doubt = False
                         if mj.job in self.c.answers.finals:
                             c.view.drop(key)
@@ -409,50 +399,18 @@
             mj.locks.release_exclusive(holder)
             mj.editing = False
 
-    def _apply(self, mj: Managed, rec: JobRecord) -> Step:
-        """Have every active controller apply the cancel; whether all have."""
-        c = self.c
-        s = c.view.split
-        assert s is not None
-        version = c.view.version(keys.JOBS + mj.job)
-        nodes: dict[str, list[int]] = {}
-        for p in self._unapplied(mj, rec):
-            nodes.setdefault(s.parts[p].owner, []).append(p)
-        for node in sorted(nodes):
-            if node == c.node:
-                got: Any = self.apply_cancel(mj.job, version)
-            else:
-                got = yield PeerCall(node, "apply", [mj.job, version], 0.8)
-            if isinstance(got, list):
-                for pair in got:
-                    mj.applied[int(pair[0])] = int(pair[1])
-        return not self._unapplied(mj, rec)
-
-    def apply_cancel(self, job: str, version: int) -> list[list[int]] | None:
-        """Apply a cancel to the slices held here; the parts and terms for which that is done."""
-        c = self.c
-        out = []
-        for p in c.acting():
-            if job not in p.slices and c.view.rev < version:
-                # The record has not come by the watch yet; it comes with the cancel in it.
-                continue
-            p.cancel(job, c.now)
-            out.append([p.number, p.term])
-        return out
-
     def arrive(self, job: str, version: int) -> Step:
         """A slice was moved here: the last change entry known of its job (Algorithm 4)."""
         c = self.c
         if c.view.version(keys.JOBS + job) < version:
-            yield from self.c.answers.fresh(job)
+            yield from self.c.answers.read(job)
         rec = c.view.jobs.get(job)
         return len(rec.changes) if rec is not None else 0
 
-    def entries(self, job: str, changes: list[Any]) -> bool:
+    def entries(self, job: str, changes: list[Any], version: int) -> bool:
         """Later change entries of a job, sent by the source of a migration."""
         if any(e[0] == "cancel" for e in changes):
-            for p in self.c.acting():
-                p.cancel(job, self.c.now)
+            self.c.cancels.learn(job, version)
         return True
 
     def cancel_here(self, job: str) -> Step:
@@ -466,7 +424,10 @@
             mj = self.managed.get(job)
             if rec is None or mj is None or not c.acts(mj.part):
                 break
-            if rec.cancelled and not self._unapplied(mj, rec):
+            if c.authority.failing and not c.cancels.known(job):
+                # What cannot be written here another may be able to write.
+                break
+            if c.cancels.confirmed(job):
                 return "cancelled"
             mj.want_cancel = True
             if not mj.editing:
@@ -493,7 +454,7 @@
                     continue
                 placed = -1 if sl.suspect or p.suspects else len(sl.placed)
                 now_so: list[Any] = [job, p.number, p.term, sl.done_count, sl.runs]
-                now_so += [placed, sl.size]
+                now_so += [placed, sl.size, sl.cancelled]
                 owner = c.owner(rec.manager)
                 if owner == c.node:
                     mj = self.managed.get(job)
@@ -506,7 +467,7 @@
                     self._told[(p.number, job)] = (c.now, now_so)
                     out.setdefault(owner, []).append(now_so)
         for node, reports in out.items():
-            c.notes.append(api.Note(node, "progress", reports))
+            c.tell(node, "progress", reports)
         if len(self._told) > 4 * (len(c.view.jobs) + 50):
             self._told.clear()
         for mj in list(self.managed.values()):
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -371,7 +371,8 @@
         known = yield PeerCall(owner, "arrive", [job, version], 0.5)
         rec = c.view.jobs.get(job)
         if isinstance(known, int) and rec is not None and len(rec.changes) > known:
-            yield PeerCall(owner, "entries", [job, known, rec.changes[known:]], 0.5)
+            later = [job, known, rec.changes[known:], c.view.version(keys.JOBS + job)]
+            yield PeerCall(owner, "entries", later, 0.5)
 
     def _settle(self, part: Part, s: Slice, holder: str) -> Step:
         """Wait until the record shows what became of the task numbers that were dropped.
@@ -421,7 +422,7 @@
             return None
         holder = str(args[1])
         if tag == "lock":
-            if rec.cancelled or mj.want_cancel or not mj.locks.request_migration(holder):
+            if c.cancels.known(job) or mj.want_cancel or not mj.locks.request_migration(holder):
                 return False
             self._held[(job, holder)] = c.now
             return True
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -123,6 +123,8 @@
         self.hung = False
         #: reports arrive, but answers and commands do not
         self.deaf = False
+        #: reports do not leave, while direct commands arrive
+        self.mute = False
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], FakeTask] = {}
         self.renewed = 0.0
@@ -356,6 +358,8 @@
         self.on_point: Callable[[str, str, Any], None] | None = None
         self.drift = {x: 1.0 + self.rng.uniform(-0.0005, 0.0005) for x in self.node_names}
         self._waiters: dict[int, Callable[[Any], None]] = {}
+        #: what a controller was asked by another
+        self._tags: dict[int, str] = {}
         self._watches: list[tuple[float, str, int, int, Watch, Controller]] = []
         self._ids = itertools.count(1)
         for x in self.node_names:
@@ -463,7 +467,7 @@
         for n, value in core.peer_replies:
             done = self._waiters.pop(n, None)
             if done is not None:
-                self._point("reply", name, value)
+                self._point("reply", name, (self._tags.pop(n, ""), value))
                 if not self.asleep(name, lambda done=done, value=value: done(value)):
                     done(value)
         core.peer_replies = []
@@ -539,6 +543,7 @@
                     return
                 ask = next(self._ids)
                 self._waiters[ask] = lambda v: self.send(call.node, name, lambda: answer(v))
+                self._tags[ask] = call.tag
                 self.set_time(peer)
                 peer.peer_request(ask, name, call.tag, call.args)
                 self.flush(call.node)
@@ -667,6 +672,8 @@
 
             answer()
 
+        if self.workers[rep.machine].mute:
+            return
         self.send(rep.machine, node, deliver)
         if self.copies and self.rng.random() < self.copies:
             # A copy of the report comes late, at any node; nobody waits for its answer.
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -42,7 +42,8 @@
 
 
 def is_promise(what: str, value: Any) -> bool:
-    return what == "reply" and value is True
+    # A promise is a list of the cancels that the asker may lack; a refusal is None.
+    return what == "reply" and value[0] == "promise" and value[1] is not None
 
 
 POINTS: dict[str, Callable[[str, Any], bool]] = {
