Stories of every meeting of troubles, at moments drawn at random; a stricter world

The tests' world gets mute machines, slow fetches, groups cut off, run times set per task, commits made late at will, and judges further from the outside: launches decided after a confirmed cancel, jobs that wait 90 s beside room once troubles are over, classes and teams served by less than half, and jobs that do not begin within four minutes.

--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -108,6 +108,7 @@
         self.state = "fetching"
         self.why = ""
         self.left = 0.0
+        self.fetch = 0.0
         self.waited = 0.0
 
 
@@ -252,7 +253,8 @@
             t.state, t.why = "exited", "error"
             return
         w.check_start(self, t)
-        t.left = 0.2 if key in w.results else w.run_s(s)
+        t.left = 0.2 if key in w.results else w.durations.get(key) or w.run_s(s)
+        t.fetch = w.fetch_s
 
     def expire(self) -> None:
         w = self.world
@@ -284,7 +286,9 @@
         self.expire()
         for t in list(self.tasks.values()):
             s = w.specs[t.job]
-            if t.state == "fetching":
+            if t.state == "fetching" and t.fetch > 0.0:
+                t.fetch -= 0.25
+            elif t.state == "fetching":
                 t.state = "waiting" if s.kind == GANG else "running"
             elif t.state == "waiting":
                 t.waited += 0.25
@@ -352,6 +356,14 @@
         self.copies = 0.0
         #: share of commits that are carried out only after a while, unanswered
         self.late_commits = 0.0
+        #: time that the fetch of an image takes
+        self.fetch_s = 0.0
+        #: run times of tasks for which they are set
+        self.durations: dict[tuple[str, int], float] = {}
+        #: since when the troubles are over, as the story says; what waits is judged from then on
+        self.quiet_since: float | None = None
+        #: job -> since when it has waited beside room
+        self._beside: dict[str, float] = {}
         #: how much later a commit of a node is carried out, unanswered; None: at once
         self.late: Callable[[str, Commit], float | None] = lambda node, commit: None
         #: nodes that stand still while time passes, and until when
@@ -669,6 +681,9 @@
             result = core.report(rep)
             self.flush(node)
             self._point("answer", node, result)
+            for o in result[2]:
+                if o.op == "start" and o.job in self.cancel_told:
+                    self.broken.append(f"started_cancelled: {o.job} by {node}")
 
             def answer() -> None:
                 if not self.asleep(node, answer) and not self.workers[rep.machine].deaf:
@@ -693,6 +708,27 @@
             core.report(rep)
             self.flush(node)
 
+    def cut_off(self, group: list[str]) -> None:
+        """Cut a group of hosts from all others, the state service and the cloud."""
+        every = [*self.node_names, *self.workers, "state", "cloud", "users"]
+        for x in group:
+            self.isolate(x, *(y for y in every if y not in group))
+
+    def calm(self) -> None:
+        """All troubles end; what is alive goes on."""
+        self.heal()
+        self.state.refused_nodes.clear()
+        if self.state.down:
+            self.state.outage(False, self.now)
+        self.cloud_down = False
+        self.state_slow = self.late_commits = self.lose_answers = self.copies = 0.0
+        for m in self.workers.values():
+            m.hung = m.deaf = m.mute = False
+        for x in self.node_names:
+            if self.cores[x] is None:
+                self.start_node(x)
+        self.quiet_since = self.now
+
     def unanswered(self, most: float = 75.0) -> list[str]:
         """Accepted jobs about which nobody answers within the time, each asked by itself."""
         left = [j for j in self.accepted]
@@ -840,6 +876,7 @@
 
     def _check(self) -> None:
         self.at(0.25, self._check)
+        self._watch_waiting()
         self.broken += self.state.unsafe
         self.state.unsafe.clear()
         used: dict[str, float] = {}
@@ -855,3 +892,70 @@
         for team in self.settings[0].cluster.teams:
             if used.get(team.name, 0.0) > team.cpus_max + 1e-9:
                 self.broken.append(f"quota: {team.name} uses {used[team.name]}")
+
+    def _watch_waiting(self) -> None:
+        """Once troubles are over, no job waits 90 s beside a machine with room for it while its
+        team is under its limit."""
+        if self.quiet_since is None:
+            self._beside.clear()
+            return
+        limits = {t.name: t.cpus_max for t in self.settings[0].cluster.teams}
+        rooms = []
+        for m in self.workers.values():
+            if not m.deleted and m.up and not m.hung and m.notice is None:
+                live = [self.specs[t.job].need for t in m.live.values()]
+                free = [a - sum(n[i] for n in live) for i, a in enumerate(m.type.size)]
+                rooms.append((m, free))
+                for t in m.live.values():
+                    s = self.specs[t.job]
+                    limits[s.team] -= s.cpus
+        for job in self.accepted:
+            s = self.specs[job]
+            on = {t.index for m in self.holders.get(job, {}).values() for t in m.live.values()
+                  if t.job == job and not m.deleted}
+            done = {i for j, i in self.results if j == job}
+            waits = s.tasks - len(on | done)
+            over = self.told.get(job) in ("done", "cancelled")
+            if job in self.cancel_asked or waits <= 0 or over:
+                self._beside.pop(job, None)
+                continue
+            whole = s.kind == GANG
+            fits = sum(
+                min((f // n for f, n in zip(free, s.need, strict=True) if n), default=0)
+                for m, free in rooms
+                if s.may_run_on(m.type.name, m.zone, m.spot)
+                and (not s.one_zone or not on or m.zone in self._zones_of(job))
+            )
+            enough = fits >= (s.tasks if whole else 1) and not (whole and on)
+            if not enough or limits[s.team] < s.cpus * (s.tasks if whole else 1):
+                self._beside.pop(job, None)
+                continue
+            since = self._beside.setdefault(job, self.now)
+            last = max((t for t, j, *_ in self.starts[-200:] if j == job), default=0.0)
+            if self.now - max(since, last) > 90.0:
+                self.broken.append(f"waits: {job} beside room")
+                self._beside[job] = self.now
+
+    def _zones_of(self, job: str) -> set[str]:
+        return {
+            m.zone
+            for m in self.holders.get(job, {}).values()
+            if not m.deleted and any(t.job == job for t in m.live.values())
+        }
+
+    def unserved(self) -> list[str]:
+        """Classes and teams of which less than half of what was accepted and not cancelled is
+        done, and jobs that did not begin within four minutes."""
+        out = []
+        began: dict[str, float] = {}
+        for t, job, *_ in self.starts:
+            began.setdefault(job, t)
+        jobs = [j for j in self.accepted if j not in self.cancel_asked]
+        kinds: dict[str, list[bool]] = {}
+        for j in jobs:
+            over = all((j, i) in self.results for i in range(self.specs[j].tasks))
+            for kind in (f"class {self.specs[j].cls}", f"team {self.specs[j].team}"):
+                kinds.setdefault(kind, []).append(over)
+            if began.get(j, self.now) - self.accepted[j] > 240.0:
+                out.append(f"late: {j}")
+        return out + [f"unserved: {k}" for k, v in kinds.items() if 2 * sum(v) < len(v)]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+import msgspec
 import pytest
 
 from marblestair.core import keys
@@ -214,3 +215,367 @@
     assert acted and not left[0]
     assert w.finish(job, 200.0)
     assert not w.broken
+
+
+# --- the meetings, at moments drawn at random ----------------------------------------------------
+#
+# Each begins with a mix of jobs under way, plays its troubles while users ask and cancel, and ends
+# in quiet: then no rule may have been broken, every job is answered for, and what was not cancelled
+# is done.
+
+
+class Play:
+    """One meeting under way: the world, its generator, and the jobs so far."""
+
+    def __init__(self, seed: int) -> None:
+        self.w = warm(seed)
+        self.rng = random.Random(seed)
+        self.jobs: list[str] = []
+
+    def submit(self, n: int = 1, **changes: Any) -> list[str]:
+        """Submit jobs, a mix by default."""
+        out = []
+        for _ in range(n):
+            kind = self.rng.choice(["array", "array", "gang"])
+            base: dict[str, Any] = dict(
+                kind=kind,
+                team=self.rng.choice(["red", "blue"]),
+                tasks=self.rng.randint(1, 5 if kind == "gang" else 10),
+                estimate_s=self.rng.uniform(4.0, 30.0),
+                spot=self.rng.random() < 0.5,
+            )
+            base.update(changes)
+            out.append(self.w.submit(spec(len(self.jobs) + 1, **base)))
+            self.jobs.append(out[-1])
+        return out
+
+    def wait(self, low: float, high: float) -> None:
+        """A while, in which users ask and now and then cancel."""
+        end = self.w.now + self.rng.uniform(low, high)
+        while self.w.now < end:
+            for job in self.rng.sample(self.jobs, min(3, len(self.jobs))):
+                self.w.ask(self.rng.choice(self.w.node_names), "query", job)
+            self.w.run(min(1.0, max(0.01, end - self.w.now)))
+
+    def cancel(self, job: str, times: int = 1, every: float = 0.0) -> None:
+        """A user's cancel, repeated like a submission."""
+        self.w.cancel_asked.add(job)
+        for n in range(times):
+            node = self.rng.choice(self.w.node_names)
+            self.w.at(n * every, lambda x=node: self.w.ask(x, "cancel", job))
+
+    def cancel_now(self, count: int) -> list[str]:
+        """Users call off that many jobs within a fifth of a second."""
+        live = [j for j in self.jobs if j not in self.w.cancel_asked]
+        chosen = self.rng.sample(live, min(count, len(live)))
+        for job in chosen:
+            self.cancel(job, times=40, every=1.5)
+        return chosen
+
+    def some(self, share: float = 0.4) -> list[Worker]:
+        """Some of the machines with tasks."""
+        found = busy(self.w)
+        return self.rng.sample(found, max(1, int(share * len(found)))) if found else []
+
+    def node(self) -> str:
+        return self.rng.choice(self.w.node_names)
+
+    def later(self, low: float, high: float, do: Any) -> None:
+        self.w.at(self.rng.uniform(low, high) * self.w.lease_s, do)
+
+
+def zone_bound(p: Play) -> None:
+    p.submit(3, one_zone=True, kind="array", tasks=6, estimate_s=25.0)
+    p.submit(1, one_zone=True, kind="gang", tasks=4)
+    p.wait(8.0, 14.0)
+    for _ in range(2):
+        for m in p.some(0.5):
+            m.hung = True
+        p.wait(2.0, 14.0)
+
+
+def cut_leader_that_users_reach(p: Play) -> None:
+    name = p.node()
+    p.w.isolate(name, "state", *(x for x in p.w.node_names if x != name))
+    p.wait(0.0, 5.0)
+    p.cancel_now(3)
+    p.wait(1.2 * p.w.lease_s, 2.5 * p.w.lease_s)
+
+
+def held_reports(p: Play) -> None:
+    p.w.copies = 0.5
+    for _ in range(2):
+        name = p.node()
+        for m in p.some():
+            p.w.isolate(m.name, name, hold=True)
+        p.wait(0.5, 4.0)
+        p.w.kill(name, back_after=p.rng.choice([0.2, 8.0]))
+        p.wait(4.0, 1.5 * p.w.lease_s)
+        p.w.heal()
+        p.wait(1.0, 3.0)
+
+
+def more_work_than_room(p: Play) -> None:
+    p.w.capacity, p.w.fetch_s = 3, 4.0
+    for priority in ("low", "normal", "production", "high"):
+        p.submit(2, priority=priority, kind="array", tasks=10, estimate_s=10.0)
+        p.wait(0.5, 3.0)
+    p.w.kill(p.node(), back_after=p.rng.choice([0.2, 6.0]))
+    p.cancel_now(2)
+    p.wait(10.0, 20.0)
+    p.w.capacity = 12
+
+
+def at_the_limit(p: Play) -> None:
+    gone = p.submit(1, team="blue", kind="array", tasks=16, estimate_s=80.0)[0]
+    p.submit(2, team="blue", kind="array", tasks=14, estimate_s=12.0)
+    p.wait(8.0, 14.0)
+    for m in p.some():
+        p.rng.choice(
+            [
+                lambda m=m: setattr(m, "deaf", True),
+                lambda m=m: setattr(m, "mute", True),
+                lambda m=m: setattr(m, "hung", True),
+                lambda m=m: p.w.isolate(m.name, *p.w.node_names),
+            ]
+        )()
+    p.w.kill(p.node(), back_after=p.rng.choice([0.2, 8.0, 20.0]))
+    p.wait(0.0, 4.0)
+    p.cancel(gone, times=40, every=1.5)
+    p.wait(5.0, 2.0 * p.w.lease_s)
+
+
+def ends(p: Play) -> None:
+    jobs = p.submit(6, kind="array", tasks=2, estimate_s=4.0)
+    for _ in range(150):
+        p.w.run(0.2)
+        for job in jobs:
+            left = p.w.specs[job].tasks - sum(j == job for j, _ in p.w.results)
+            if left <= 1 and p.rng.random() < 0.3:
+                what = p.rng.choice(["query", "submit", "cancel", "query"])
+                if what == "cancel" and p.rng.random() < 0.3:
+                    p.cancel(job, times=20, every=1.0)
+                elif what != "cancel":
+                    arg = p.w.specs[job] if what == "submit" else job
+                    p.w.ask(p.node(), what, arg)
+
+
+def zone_cut_off(p: Play) -> None:
+    name = p.node()
+    zone = [m.name for m in p.w.workers.values() if p.rng.random() < 0.5]
+    p.w.cut_off([name, *zone])
+    p.wait(0.0, 6.0)
+    p.cancel_now(2)
+    p.wait(1.2 * p.w.lease_s, 2.5 * p.w.lease_s)
+
+
+def late_writes(p: Play) -> None:
+    p.w.late_commits = 0.25
+    for _ in range(3):
+        p.submit(1)
+        p.wait(1.0, 6.0)
+        p.cancel_now(1)
+        if p.rng.random() < 0.6:
+            p.w.kill(p.node(), back_after=p.rng.choice([0.1, 0.3, 5.0]))
+        p.wait(1.0, 8.0)
+
+
+def tasks_far_apart(p: Play) -> None:
+    for n in (2, 3, 2, 3):
+        job = p.submit(1, kind="array", tasks=n)[0]
+        for i in range(n):
+            p.w.durations[(job, i)] = 3.0 + 14.0 * i
+    for _ in range(3):
+        p.wait(4.0, 9.0)
+        p.w.kill(p.node(), back_after=p.rng.choice([0.2, 6.0]))
+
+
+def slow_then_out(p: Play) -> None:
+    p.w.state_slow = p.rng.uniform(0.2, 1.0)
+    p.wait(1.0, 4.0)
+    p.w.state.refused_nodes.add(p.node())
+    p.cancel_now(3)
+    p.wait(0.5, 3.5)
+    p.w.state.outage(True, p.w.now)
+    p.cancel_now(2)
+    p.wait(p.w.cancel_s, 1.4 * p.w.cancel_s)
+
+
+def all_away(p: Play) -> None:
+    p.cancel_now(2)
+    p.wait(0.0, 2.0)
+    for x in p.w.node_names:
+        p.w.kill(x, back_after=p.rng.uniform(1.1, 2.0) * p.w.lease_s)
+    p.w.run(1.1 * p.w.lease_s)
+    p.wait(p.w.lease_s, 2.0 * p.w.lease_s)
+
+
+def mute_machines(p: Play) -> None:
+    for m in p.some(0.6):
+        m.mute = True
+        p.later(0.3, 3.0, lambda m=m: setattr(m, "mute", False))
+    p.wait(0.5, 6.0)
+    p.cancel_now(2)
+    if p.rng.random() < 0.5:
+        p.w.kill(p.node(), back_after=p.rng.choice([0.2, 6.0]))
+    p.wait(1.0, 2.0 * p.w.lease_s)
+
+
+def old_reports(p: Play) -> None:
+    p.w.copies = 0.7
+    for _ in range(4):
+        for m in p.some(0.3):
+            m.back_at_once()
+        p.wait(1.0, 6.0)
+        p.w.kill(p.node(), back_after=p.rng.choice([0.1, 3.0]))
+        p.cancel_now(1)
+
+
+def held_commands(p: Play) -> None:
+    for _ in range(2):
+        for m in p.some():
+            for x in p.w.node_names:
+                p.w.isolate(m.name, x, hold=True)
+            if p.rng.random() < 0.5:
+                m.hung = True
+                p.later(0.2, 0.9, lambda m=m: setattr(m, "hung", False))
+        p.cancel_now(2)
+        p.wait(1.0, 9.0)
+        p.w.heal()
+        p.wait(1.0, 5.0)
+
+
+def leaders_in_a_row(p: Play) -> None:
+    for n in range(10):
+        if n == 4:
+            p.w.state.outage(True, p.w.now)
+        if n == 6:
+            p.w.state.outage(False, p.w.now)
+        if n % 4 == 2:
+            p.cancel_now(1)
+        p.w.kill(p.w.node_names[n % 3], back_after=p.rng.choice([0.1, 0.4, 4.0]))
+        p.wait(3.0, 14.0)
+
+
+def leader_ends_while_machines_are_away(p: Play) -> None:
+    p.submit(2, kind="array", tasks=8, estimate_s=60.0)
+    p.wait(8.0, 12.0)
+    for m in p.some(0.5):
+        if p.rng.random() < 0.5:
+            p.w.isolate(m.name, *p.w.node_names, hold=p.rng.random() < 0.5)
+        else:
+            m.deaf = True
+            p.later(0.5, 2.5, lambda m=m: setattr(m, "deaf", False))
+    p.w.kill(p.node(), back_after=p.rng.choice([0.2, 25.0]))
+    p.cancel_now(1)
+    p.wait(0.5 * p.w.lease_s, 2.0 * p.w.lease_s)
+    p.w.heal()
+    p.wait(1.0, 5.0)
+
+
+def over_and_back(p: Play) -> None:
+    name = p.node()
+    p.w.kill(name, back_after=0.3)
+    p.wait(0.5, 2.0)
+    p.w.kill(name, back_after=p.rng.choice([0.1, 9.0]))
+    p.wait(2.0, 9.0)
+    for x in p.w.node_names:
+        p.w.kill(x, back_after=0.3 if x == name else p.rng.uniform(5.0, 15.0))
+    p.cancel_now(1)
+    p.wait(1.0, 9.0)
+    if p.rng.random() < 0.5 and p.w.cores[name] is not None:
+        p.w.kill(name, back_after=0.5)
+    p.wait(15.0, 18.0)
+
+
+def odd_requests(p: Play) -> None:
+    w = p.w
+    done = p.submit(1, kind="array", tasks=1, estimate_s=1.0)[0]
+    assert w.finish(done, 60.0)
+    # Longer than anything here goes on, so that its state is "queued" or "running".
+    live = p.submit(1, kind="array", team="red", tasks=3, estimate_s=200.0)[0]
+    changed = spec(2, tasks=5, estimate_s=1.0)
+    bad = [
+        spec(90, types=["none"]),
+        spec(91, cpus=9.0),
+        spec(92, team="green"),
+        spec(93, team="blue", kind="gang", tasks=13),
+        spec(94, zone="z"),
+    ]
+    for s in bad:
+        w.specs[s.id] = s
+    outage = p.rng.uniform(0.5, 3.0)
+    w.at(outage, lambda: w.state.outage(True, w.now))
+    w.at(outage + 8.0, lambda: w.state.outage(False, w.now))
+    assert changed.id == live
+    mine = w.specs[live]
+    told: dict[str, set[int]] = {}
+    for _ in range(14):
+        for x in w.node_names:
+            asked = [(s.id, w.ask(x, "submit", s)) for s in bad]
+            asked.append(("live", w.ask(x, "submit", msgspec.structs.replace(mine, tasks=5))))
+            w.cancel_asked.add(done)
+            asked.append(("done", w.ask(x, "cancel", done)))
+            w.run(0.3)
+            for name, out in asked:
+                for r in out:
+                    told.setdefault(name, set()).add(r.status)
+                    assert r.status != 503 or r.retry_after
+                    if r.status == 200:
+                        assert r.state == "done" if name == "done" else r.state != "done"
+    for s in bad:
+        assert told[s.id] <= {422, 503} and 422 in told[s.id]
+    assert 200 in told["live"] and told["live"] <= {200, 503}
+    assert told["done"] <= {200, 503} and 200 in told["done"]
+    w.cancel_asked.discard(done)
+    p.cancel(live, times=40, every=1.5)
+
+
+MEETINGS = {
+    f.__name__: f
+    for f in (
+        zone_bound,
+        cut_leader_that_users_reach,
+        held_reports,
+        more_work_than_room,
+        at_the_limit,
+        ends,
+        zone_cut_off,
+        late_writes,
+        tasks_far_apart,
+        slow_then_out,
+        all_away,
+        mute_machines,
+        old_reports,
+        held_commands,
+        leaders_in_a_row,
+        leader_ends_while_machines_are_away,
+        over_and_back,
+        odd_requests,
+    )
+}
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("meeting", sorted(MEETINGS))
+def test_meetings_break_no_rule_and_leave_nothing_behind(meeting: str, seed: int) -> None:
+    p = Play(5000 + 100 * sorted(MEETINGS).index(meeting) + seed)
+    w = p.w
+    if meeting != "odd_requests":
+        p.submit(5)
+        p.wait(6.0, 14.0)
+    MEETINGS[meeting](p)
+    assert not w.broken, w.broken[:3]
+    w.calm()
+    w.run(20.0)
+    assert not w.unanswered(), "forgotten"
+    for job in p.jobs:
+        if job in w.cancel_asked:
+            assert w.cancel(job) in ("cancelled", "done")
+        else:
+            assert w.finish(job, 400.0), job
+    w.run(w.cancel_s)
+    assert not w.unserved()
+    assert not w.broken, w.broken[:3]
+    held = [t for m in w.workers.values() if not m.deleted for t in m.live.values()]
+    assert not held
