Nobody waits beside room, and what is over is stopped by every answer

Causes found by going through the code, each with a story that fails without its guard: - a machine once unheeded twice stayed deaf for good where most of a part were, since nothing was sent that could show the opposite: half a lease of regular reports now does; - machines kept for gangs that may come were no room for anybody, however long work waited; - capacity in other zones hid the need of work that is bound to one; - an unsettled machine's answer renewed its lease without stopping what is over, and tasks of unknown jobs did not count against any team until stopped; - gangs whose tasks must lie apart where there is one zone only were accepted: 422 now.

--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from typing import TYPE_CHECKING
 
 from marblestair.core.model import GANG
@@ -27,6 +28,9 @@
 OLD_SHARE = 0.25
 #: a slice that has not begun gets this part of its tasks at first
 FIRST = 16
+#: work of which nothing runs may use what is kept for gangs that are expected after this time, and
+#: what waits for a gang after twice as long: nobody waits long beside room
+BESIDE_S = BEGIN_S / 8
 #: weight of the image's fetch where a job is within its team's guarantee
 HURRY = 3.0
 
@@ -213,7 +217,15 @@
         c = self.c
         hurry = HURRY if s.spec.id in c.guaranteed else 1.0
         share = self._share(part, s, held)
-        keep, drain = c.fleet.reserved.keys(), c.fleet.drained
+        keep: Container[str] = c.fleet.reserved.keys()
+        drain = c.fleet.drained
+        waited = c.now - s.waiting_since
+        if keep and not s.placed and waited > BESIDE_S:
+            kept = c.fleet.reserved
+            keep = {n for n, job in kept.items() if job and waited <= 2 * BESIDE_S}
+            if not any(m.name not in kept and m.free[0] >= s.need[0] for m in free):
+                # One task is enough not to wait; the rest leaves the gang its machines.
+                most = min(most, 1)
         return place_array(part, s, share, usable, free, c.now, c.rng, keep, drain, hurry, most)
 
     def _gang(
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -38,6 +38,9 @@
 HEARD_REPORTS = 2.0
 #: launches or leases in a row without effect after which a machine counts as deaf
 UNHEEDED = 2
+#: share of a lease for which a machine must report as often as one that is answered, before what
+#: went unheeded earlier is forgotten
+HEARS_AGAIN = 0.5
 #: allowance for clocks that drift apart, as a share of a lease
 DRIFT = 0.002
 
@@ -131,6 +134,8 @@
         #: how often in a row a launch did not show in a newer report, or a lease ran out though
         #: it was answered
         self.unheeded = 0
+        #: since when it has reported, without a gap, as often as only an answered worker does
+        self.often_since = now
         #: answers to reports that did not carry this part's term yet
         self.untaken = 0
         self.not_before = -1e9
@@ -247,6 +252,8 @@
         self.used: dict[str, list[int]] = {}
         #: machines of the part at the takeover whose tasks are not known yet
         self.suspects: set[str] = set()
+        #: machines that list tasks of jobs that this part knows nothing of
+        self.strayed: set[str] = set()
         #: the view has caught up with the takeover and progress is loaded
         self.ready = False
         #: being handed to another node
@@ -269,9 +276,10 @@
         return (self.term << ATTEMPT_BITS) + self._attempts
 
     def usage(self, team: str) -> tuple[int, int]:
-        """Upper bound of what a team's tasks use: unsettled machines count in full."""
+        """Upper bound of what a team's tasks use: machines that are not settled, or hold tasks
+        of nobody's until those are stopped, count in full."""
         c, g = self.used.get(team, (0, 0))
-        for name in self.suspects:
+        for name in (self.suspects | self.strayed) if self.strayed else self.suspects:
             m = self.machines.get(name)
             if m is None or m.type is None:
                 return 1 << 62, 1 << 62
@@ -316,6 +324,8 @@
             return
         if s.placed.get(p.index) is m:
             del s.placed[p.index]
+            if not s.placed:
+                s.waiting_since = now
             if p.run_since is not None:
                 s.runs -= 1
         if s.holds(p.index) and not (s.done >> p.index) & 1:
@@ -441,6 +451,7 @@
             return
         for p in list(m.placed.values()):
             self._gone(m, p, now)
+        self.strayed.discard(name)
         self.suspects.discard(name)
         self.settle_suspects()
 
@@ -450,6 +461,7 @@
             self._gone(m, p, now)
         m.exited = {}
         m.strays = {}
+        self.strayed.discard(m.name)
 
     def _drain(self, now: float) -> None:
         """Save what can be saved on machines that the cloud takes back."""
@@ -522,6 +534,11 @@
         elif often and m.unheeded < UNHEEDED:
             # A worker that is not answered within some seconds turns to another controller.
             m.deaf = False
+        if not often:
+            m.often_since = now
+        elif now - m.often_since > HEARS_AGAIN * self.cluster.workers.lease_s:
+            # Nothing is sent to a deaf machine that could show whether it hears again.
+            m.unheeded = 0
         m.seq = rep.seq
         if m.awaited:
             # It was away together with many. Whether it hears is told by what follows.
@@ -546,7 +563,7 @@
                 return None
             m.untaken += 1
             m.answered = now
-            return []
+            return self._over(rep)
         self._reconcile(m, rep, now)
         if m.name in self.suspects:
             self.suspects.discard(m.name)
@@ -554,6 +571,16 @@
         m.answered = now
         return self._orders(m, now)
 
+    def _over(self, rep: Report) -> list[Order]:
+        """Stops for what a machine that is not settled lists of jobs that are over: an answer
+        that renews its lease must not let those go on."""
+        orders = []
+        for t in rep.tasks:
+            s = self.slices.get(t.job)
+            if t.state != "exited" and (s is None or s.cancelled):
+                orders.append(Order("stop", t.job, t.index, t.attempt, 0.0))
+        return orders[:MAX_ORDERS]
+
     def _deaf(self, m: Machine, now: float) -> None:
         if not m.deaf:
             m.deaf, m.deaf_since = True, now
@@ -584,6 +611,10 @@
                 self._adopt(m, s, t, now)
             else:
                 m.strays[key] = t.attempt
+        if m.strays:
+            self.strayed.add(m.name)
+        else:
+            self.strayed.discard(m.name)
         lost = shown = False
         for key, p in list(m.placed.items()):
             found = listed.get(key)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -381,6 +381,25 @@
             if n:
                 short[(k.key, -1)] = short.get((k.key, -1), 0) + n
             break
+    # Work bound to a zone is not served by what stands in another.
+    bound: dict[str, list[Load]] = {}
+    for x in arrays:
+        if x.spec.zone is not None and x.pending:
+            bound.setdefault(x.spec.zone, []).append(x)
+    for zone, work in sorted(bound.items()):
+        here = sum(
+            m.type.cpus for m in machines if m.zone == zone and m.name not in used and not m.absent
+        )
+        widest = max(work, key=lambda x: (x.pending * x.spec.cpus, x.spec.id))
+        options = [k for k in kinds_of(widest.spec) if not refused(k)]
+        options.sort(key=lambda k: (_per_cpu(k, widest.spec, tuning, scarce), k.zone))
+        for k in options[:1]:
+            asked = sum(
+                n * types[key[0]].cpus for (key, _), n in short.items() if key[1] == zone
+            )
+            n = round((_array_target(work, boot, tuning) - here - asked) / k.type.cpus)
+            if n > 0:
+                short[(k.key, -1)] = short.get((k.key, -1), 0) + n
     for x in arrays:
         # Work that no machine at hand may run needs one of its own, whatever the capacity.
         if x.pending and not any(
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -18,8 +18,14 @@
         if (spec.types is None or t.name in spec.types)
         and (spec.zone is None or spec.zone in t.zones)
     ]
-    if not any(t.fits(need) for t in options):
+    options = [t for t in options if t.fits(need)]
+    if not options:
         return "a task fits no allowed machine type"
+    zones = {z for t in options for z in t.zones if spec.zone in (None, z)}
+    if spec.kind == GANG and spec.spread and spec.tasks > 1:
+        # At most half of the tasks may lie in one zone, and all run at the same time.
+        if spec.one_zone or len(zones) < 2:
+            return "its tasks must lie apart, and there is one zone only"
     n = spec.tasks if spec.kind == GANG else 1
     if n * need[0] > down(team.cpus_max) or n * need[1] > down(team.gpus_max):
         return "more than the team's limit"
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,7 +10,9 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import Commit
-from tests.fakes.world import Worker, World, spec
+from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.renting import Have, Load, Tuning, plan
+from tests.fakes.world import TYPES, Worker, World, spec
 from tests.test_added_rules import busy
 from tests.test_stories import owner, warm
 
@@ -501,6 +503,8 @@
         spec(92, team="green"),
         spec(93, team="blue", kind="gang", tasks=13),
         spec(94, zone="z"),
+        spec(95, kind="gang", spread=True, one_zone=True, tasks=4),
+        spec(96, kind="gang", spread=True, zone="a", tasks=4),
     ]
     for s in bad:
         w.specs[s.id] = s
@@ -579,3 +583,70 @@
     assert not w.broken, w.broken[:3]
     held = [t for m in w.workers.values() if not m.deleted for t in m.live.values()]
     assert not held
+
+
+# --- nobody waits beside room; what is over is stopped whoever asks -------------------------------
+
+
+def test_machines_that_were_all_deaf_serve_again_once_they_hear() -> None:
+    w = warm(4200)
+    w.submit(spec(1, tasks=24, estimate_s=200.0))
+    w.run(16.0)
+    machines = busy(w)
+    assert len(machines) >= 3
+    for m in machines:
+        m.deaf = True
+    w.run(3.0 * w.lease_s)
+    for m in machines:
+        m.deaf = False
+    w.capacity = len([m for m in w.workers.values() if not m.deleted])
+    heard = w.now
+    assert w.until(lambda: any(t > heard for t, *_ in w.starts), 2.0 * w.lease_s)
+    assert not w.broken
+
+
+def test_work_does_not_wait_beside_a_machine_that_is_kept_for_gangs() -> None:
+    aims = [{"kind": "wait", "class": "g", "within_s": 6.0, "share": 0.9}]
+    w = warm(4210, objectives=aims)
+    w.capacity = 1
+    gang = w.submit(spec(1, kind="gang", cls="g", tasks=1, cpus=4.0, estimate_s=3.0))
+    assert w.finish(gang, 60.0)
+    w.quiet_since = w.now
+    # The class may come again, and the only machine is kept for it.
+    job = w.submit(spec(2, tasks=2, estimate_s=3.0, deadline_s=1000.0))
+    assert w.finish(job, 80.0)
+    assert not w.broken
+
+
+def test_an_answer_to_a_machine_that_is_not_settled_stops_what_is_over() -> None:
+    w = warm(4220)
+    job = w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(14.0)
+    m = busy(w)[0]
+    part = Part(0, 99, w.settings[0].cluster, w.now)
+    known = Machine(m.name, m.type.name, m.zone, m.spot, w.now)
+    known.set_type(m.type)
+    part.add_machine(known)
+    s = part.slices[job] = Slice(w.specs[job])
+    s.ranges, s.size = [[0, 12]], 12
+    assert part.report(m.body(), w.now) == []
+    s.cancelled = True
+    orders = part.report(m.body(), w.now)
+    assert orders and {(o.op, o.index) for o in orders} == {("stop", i) for _, i in m.live}
+    # Settled at last, what it lists of jobs that are not known counts against every team.
+    del part.slices[job]
+    stopped = part.report(msgspec.structs.replace(m.body(), token=99), w.now)
+    assert stopped and all(o.op == "stop" for o in stopped)
+    assert part.usage("red")[0] == part.usage("blue")[0] == m.type.size[0]
+    assert part.report(msgspec.structs.replace(m.body(), token=99, tasks=[]), w.now) == []
+    assert part.usage("red")[0] == 0
+
+
+def test_work_bound_to_a_zone_gets_machines_there_though_others_stand_elsewhere() -> None:
+    kind = {t.name: t for t in TYPES}
+    have = [Have(f"a{i}", kind["t8"], "a", False, False, 5.0, 100.0) for i in range(5)]
+    have.append(Have("b0", kind["t4"], "b", False, False, -1.0, 100.0, used=4_000_000))
+    load = Load(spec(1, tasks=40, zone="b", estimate_s=10.0), 36, 4, 20.0, 10.0, 36)
+    out = plan([load], have, kind, lambda k: False, 0.0, {}, Tuning())
+    assert sum(kind[x.type].cpus * x.count for x in out.rent if x.zone == "b") >= 8
+    assert all(x.zone == "b" for x in out.rent)
