A cancel waits for the manager's owner too: it may go on telling that the job runs

Ruled out: an answer under way between controllers. The manager part counts now among those that may act. Story: a manager without a slice; it fails on the sources before.

--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -1,12 +1,12 @@
 """Cancels from the commit of their entry until users may be told.
 
 Three moments differ. A cancel is *committed* once its entry is in the job's change list, *applied*
-once every controller that may act for a slice of the job has the entry (it launches nothing more
-of the job and has begun to stop it), and *confirmed* once a user may be told. The paper's
-coordinator (Algorithm 3) releases its exclusive lock only after the change was made at every
-active server; here nobody tells of a cancel before that, whoever is asked and by whichever
-request. An owner that may act is one that holds its lease and a recent enough view, or promises of
-all the others:
+once every controller that may act for the job, as owner of a slice or of its manager part, has the
+entry (it launches nothing more of the job, has begun to stop it, and tells nobody that it runs),
+and *confirmed* once a user may be told. The paper's coordinator (Algorithm 3) releases its
+exclusive lock only after the change was made at every active server; here nobody tells of a cancel
+before that, whoever is asked and by whichever request. An owner that may act is one that
+holds its lease and a recent enough view, or promises of all the others:
 
 - by lease, it acts on a view younger than a worker's lease, so an entry older than that is in it;
 - by promises, it has from every promise the entries that its giver knew (Algorithm 4's transfer
@@ -109,12 +109,13 @@
             return None
         over = c.now - e.since > OVER_LEASES * c.settings.cluster.workers.lease_s
         out = []
-        for name in rec.slices:
-            part = s.parts[int(name)]
-            if (part.owner, part.incarnation) == c.me or e.applied.get(int(name)) == part.term:
+        # The manager's owner, too: it may act by telling users of the job.
+        for number in {rec.manager, *map(int, rec.slices)}:
+            part = s.parts[number]
+            if (part.owner, part.incarnation) == c.me or e.applied.get(number) == part.term:
                 continue
             if not (over and not c.authority.bound(part.owner, c.now)):
-                out.append(int(name))
+                out.append(number)
         return out
 
     def confirmed(self, job: str) -> bool:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -184,6 +184,34 @@
     assert not w.broken
 
 
+def test_a_manager_without_a_slice_is_waited_for_too() -> None:
+    """It is left with its users and workers, and would go on telling that the job runs."""
+    w = warm(4030)
+    n = 0
+    while True:
+        n += 1
+        job = w.submit(spec(n, kind="gang", tasks=2, estimate_s=300.0))
+        assert w.until(lambda j=job: bool(holders(w, j)), 40.0)
+        name = manager(w, job)
+        if name not in part_owners(w, job):
+            break
+    assert n < 12
+    others = [x for x in w.node_names if x != name]
+    w.isolate(name, "state", *others)
+    w.cancel_asked.add(job)
+    asked = w.now
+    told: list[Any] = []
+    while w.now < asked + w.cancel_s and not any(r.status == 200 for o in told for r in o):
+        told += [w.ask(x, "cancel", job) for x in others]
+        running = w.ask(name, "query", job)
+        w.run(0.5)
+        assert not w.broken
+    assert any(r.state == "cancelled" for o in told for r in o)
+    assert not running or running[0].status == 503
+    keep_asking(w, [job], w.lease_s)
+    assert not w.broken
+
+
 # --- commits that come late, after newer ones of the same process ---------------------------------
 
 
