--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,143 @@
+"""The tests' world judges every rule from the outside: here it must cry out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from marblestair.core import keys
+from marblestair.core.calls import Commit, LeaseGrant, Put
+from marblestair.core.controller import Reply
+from marblestair.core.model import Order
+from tests.fakes.world import TYPES, Worker, World, spec
+
+
+def bare(**job: Any) -> World:
+    """A world without controllers: two machines in zone a, one of them spot, and one in zone b;
+    a job that was accepted."""
+    w = World(1, 1)
+    w.kill("n0")
+    for n, (zone, spot) in enumerate((("a", False), ("a", True), ("b", False))):
+        m = Worker(w, f"host-{n:06d}", TYPES[1], zone, spot)
+        m.up, m.renewed = True, 1e9
+        w.workers[m.name] = m
+    w.specs["job-000001"] = spec(1, **{"spot": True, "estimate_s": 1e6, **job})
+    judge(w, "submit", "queued", 201)
+    return w
+
+
+def judge(w: World, what: str, state: str, status: int = 200, job: str = "job-000001") -> None:
+    """A user gets an answer."""
+    arg = w.specs.get(job, spec(1, id=job)) if what == "submit" else job
+    w._judge(what, arg, Reply(1, status, job, state))
+
+
+def start(w: World, index: int, host: int, attempt: int = 1) -> None:
+    list(w.workers.values())[host].obey([Order("start", "job-000001", index, attempt)])
+
+
+def cancelled(w: World) -> None:
+    w.cancel_asked.add("job-000001")
+    judge(w, "withdraw", "cancelled")
+
+
+def hung_after_a_cancel(w: World) -> None:
+    start(w, 0, 0)
+    w.workers["host-000000"].hung = True
+    cancelled(w)
+    w.run(w.cancel_s + 1.0)
+
+
+def late_start(w: World) -> None:
+    cancelled(w)
+    w.run(w.cancel_s + 0.1)
+    start(w, 0, 0)
+
+
+def launched_after_a_cancel(w: World) -> None:
+    cancelled(w)
+    w.start_node("n0")
+    core = w.cores["n0"]
+    assert core is not None
+    answer = (200, 1, [Order("start", "job-000001", 0, 1)], None)
+    core.report = lambda rep: answer  # type: ignore[method-assign]
+    w.workers["host-000000"].report()
+    w.run(1.0)
+
+
+def waits(w: World) -> None:
+    w.quiet_since = w.now
+    start(w, 0, 0)
+    w.run(95.0)
+
+
+def unguarded(w: World) -> None:
+    w.state.execute(Commit([], [Put("main/x", 1)]), "n0", w.now)
+    w.run(0.5)
+
+
+def reordered(w: World) -> None:
+    lease = w.state.execute(LeaseGrant(5000), "n0", w.now).lease
+    key = keys.NODES + "n0"
+    version = w.state.data[key][1] if key in w.state.data else 0
+    for n, v in ((9, version), (4, None)):
+        v = w.state.data[key][1] if v is None else v
+        w.state.execute(Commit([(key, v)], [Put(key, 1, lease)]), "n0", w.now, (1, n))
+    w.run(0.5)
+
+
+CRIES: dict[str, tuple[dict[str, Any], Callable[[World], object], str]] = {
+    "twice": ({}, lambda w: (start(w, 0, 0), start(w, 0, 2, 2)), "ran_twice"),
+    "limit": (
+        {"cpus": 4.0, "tasks": 9},
+        lambda w: ([start(w, i, i // 2) for i in range(6)], w.run(0.5), grown(w)),
+        "quota",
+    ),
+    "type": ({"types": ["t4"]}, lambda w: start(w, 0, 0), "wrong_place"),
+    "zone": ({"zone": "b"}, lambda w: start(w, 0, 0), "wrong_place"),
+    "spot": ({"spot": False}, lambda w: start(w, 0, 1), "wrong_place"),
+    "together": ({"one_zone": True}, lambda w: (start(w, 0, 0), start(w, 1, 2)), "wrong_place"),
+    "apart": (
+        {"spread": True, "tasks": 3},
+        lambda w: [start(w, i, 0) for i in range(3)],
+        "wrong_place",
+    ),
+    "on a hung machine": ({}, hung_after_a_cancel, "ran_cancelled"),
+    "a late start": ({}, late_start, "ran_cancelled"),
+    "a launch": ({}, launched_after_a_cancel, "started_cancelled"),
+    "404": ({}, lambda w: judge(w, "query", "", 404), "forgotten"),
+    "422": ({}, lambda w: judge(w, "submit", "", 422), "forgotten"),
+    "invented": ({}, lambda w: judge(w, "query", "queued", 200, "job-000009"), "invented"),
+    "not done": ({}, lambda w: judge(w, "query", "done"), "not_done"),
+    "back": ({}, lambda w: (cancelled(w), judge(w, "query", "running")), "went_back"),
+    "by nobody": ({}, lambda w: judge(w, "query", "cancelled"), "went_back"),
+    "beside room": ({}, waits, "waits"),
+    "unguarded": ({}, unguarded, "unguarded"),
+    "reordered": ({}, reordered, "reordered"),
+}
+
+
+def grown(w: World) -> None:
+    """A team's limit is 24 cpus and all its tasks hold 24; one more."""
+    w.specs["job-000001"] = spec(1, spot=True, estimate_s=1e6, cpus=4.5, tasks=9)
+    w.run(0.5)
+
+
+@pytest.mark.parametrize("case", sorted(CRIES))
+def test_the_world_cries_out(case: str) -> None:
+    job, do, rule = CRIES[case]
+    w = bare(**job)
+    assert not w.broken
+    do(w)
+    assert any(x.startswith(rule) for x in w.broken), w.broken
+
+
+def test_the_world_tells_what_is_forgotten_unserved_or_late() -> None:
+    w = bare()
+    assert set(w.unserved()) == {"unserved: class c", "unserved: team red"}
+    assert w.unanswered() == ["job-000001"]
+    w.run(241.0)
+    assert set(w.unserved()) == {"late: job-000001", "unserved: class c", "unserved: team red"}
+    assert not w.broken
