Cancels: who waits asks only those that were heard; time alone needs no look at promises

A promise lasts less than the time after which an entry is in every view that is acted on, so each one that still holds has carried the entry; taking the look at promises out failed no story, and the argument is in core/cancels.py. A user's cancel is no longer held by questions to unreachable controllers.

--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -9,9 +9,10 @@
 holds its lease and a recent enough view, or promises of all the others:
 
 - by lease, it acts on a view younger than a worker's lease, so an entry older than that is in it;
-- by promises, it has from every promise the entries that its giver knew (Algorithm 4's transfer
-  of missing entries), so whoever confirms a cancel by the passing of time must have no promise
-  outstanding that was given before the entry was known.
+- by promises, it has with every promise the entries that its giver knew (Algorithm 4's transfer
+  of missing entries). Whoever confirms a cancel by the passing of time has known the entry for
+  longer than a promise lasts, so each promise of its own that still holds has carried it; also one
+  given before a restart is over by then.
 """
 
 from __future__ import annotations
@@ -31,6 +32,9 @@
 OVER_LEASES = 1.1
 #: time for another controller to apply an entry
 APPLY_PEER_S = 0.8
+#: controllers tell one another something twice a second; one that was not heard for this long is
+#: not waited for while a user waits
+UNHEARD_S = 2.0
 #: leases of a worker for which an application is carried on without anybody asking
 CARRY_LEASES = 2.5
 #: applications carried on at once that nobody waits for
@@ -114,7 +118,7 @@
             part = s.parts[number]
             if (part.owner, part.incarnation) == c.me or e.applied.get(number) == part.term:
                 continue
-            if not (over and not c.authority.bound(part.owner, c.now)):
+            if not over:
                 out.append(number)
         return out
 
@@ -140,9 +144,9 @@
         self.learn(job, rev)
         return [[p.number, p.term] for p in self.c.acting()]
 
-    def ask(self, job: str) -> Step:
-        """Have every owner that may lack the entry apply it, those that were heard first;
-        whether the cancel is confirmed."""
+    def ask(self, job: str, heard_s: float = 1e9) -> Step:
+        """Have every owner that may lack the entry, and was heard within a time, apply it, the
+        latest heard first; whether the cancel is confirmed."""
         c = self.c
         s, e = c.view.split, self._entries.get(job)
         nodes: dict[str, None] = {}
@@ -150,7 +154,7 @@
             if s is not None:
                 nodes[s.parts[p].owner] = None
         for node in sorted(nodes, key=lambda n: (-c.heard.get(n, -1e9), n)):
-            if e is None or node == c.node:
+            if e is None or node == c.node or c.now - c.heard.get(node, -1e9) > heard_s:
                 continue
             got = yield PeerCall(node, "apply", [job, e.rev], APPLY_PEER_S)
             for pair in got if isinstance(got, list) else ():
@@ -162,7 +166,8 @@
         c = self.c
         until = c.now + most_s
         while self.known(job):
-            if (yield from self.ask(job)):
+            # A user waits: those that do not answer anyway are left to what goes on afterwards.
+            if (yield from self.ask(job, UNHEARD_S)):
                 return True
             if c.now >= until:
                 self.carry(job)
