--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -95,7 +95,7 @@
     def _submit(self, spec: JobSpec) -> Step:
         c = self.c
         job = spec.id
-        if job in self.c.answers.finals or job in c.view.jobs:
+        if job in c.answers.finals or job in c.view.jobs:
             return (yield from self._known(job))
         if not c.types:
             return 503, UNKNOWN, "machine types are not known yet", 1
@@ -104,7 +104,7 @@
         if reason is None and too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION):
             reason = "the description is larger than what can be kept"
         if reason is not None:
-            state = yield from self.c.answers.lookup(job)
+            state = yield from c.answers.lookup(job)
             if state is None:
                 return 503, UNKNOWN, "state service unavailable", 1
             if state == UNKNOWN:
@@ -156,7 +156,7 @@
                 return 201, ("queued", 0, 0), "", 0
             if r.status in (0, 409):
                 # Perhaps an earlier try of ours, or of the user by way of another node.
-                state = yield from self.c.answers.lookup(job)
+                state = yield from c.answers.lookup(job)
                 if state is None:
                     break
                 if state != UNKNOWN:
@@ -209,7 +209,7 @@
 
     def query(self, request: int, job: str) -> Flow:
         """GET of a job."""
-        state = yield from self.c.answers.lookup(job)
+        state = yield from c.answers.lookup(job)
         if state is None:
             self._reply(request, job, 503, UNKNOWN, "state not available", 1)
         elif state == UNKNOWN:
@@ -221,10 +221,10 @@
         """POST of a cancel."""
         c = self.c
         state: State | None = None
-        if job not in self.c.answers.finals and job not in c.view.jobs:
-            yield from self.c.answers.read(job)
-        if job in self.c.answers.finals:
-            state = (self.c.answers.finals[job], None, None)
+        if job not in c.answers.finals and job not in c.view.jobs:
+            yield from c.answers.read(job)
+        if job in c.answers.finals:
+            state = (c.answers.finals[job], None, None)
         elif c.cut_off():
             state = None
         elif job in c.view.jobs:
@@ -245,7 +245,7 @@
             if got in ("done", "cancelled"):
                 state = (str(got), None, None)
         else:
-            state = yield from self.c.answers.lookup(job)
+            state = yield from c.answers.lookup(job)
             if state == UNKNOWN:
                 self._reply(request, job, 404, UNKNOWN, "no such job", 0)
                 return
@@ -379,15 +379,15 @@
                 if r.status == 200:
                     mj.doubt = False
                     if action in ("finish", "bury"):
-                        self.c.answers.final(mj.job, final)
+                        c.answers.final(mj.job, final)
                     c.view.committed(commit, r.rev)
                     c.sync()
                 elif r.status == 409:
                     # The record moved on: by an earlier try of ours, or the part has a new
                     # owner. Whatever was in doubt is settled by reading it.
-                    if (yield from self.c.answers.refresh(mj.job)):
+                    if (yield from c.answers.refresh(mj.job)):
                         mj.doubt = False
-                        if mj.job in self.c.answers.finals:
+                        if mj.job in c.answers.finals:
                             c.view.drop(key)
                             c.sync()
                     yield Sleep(0.05)
@@ -403,7 +403,7 @@
         """A slice was moved here: the last change entry known of its job (Algorithm 4)."""
         c = self.c
         if c.view.version(keys.JOBS + job) < version:
-            yield from self.c.answers.read(job)
+            yield from c.answers.read(job)
         rec = c.view.jobs.get(job)
         return len(rec.changes) if rec is not None else 0
 
@@ -418,8 +418,8 @@
         c = self.c
         until = c.now + 3.0
         while c.now < until:
-            if job in self.c.answers.finals:
-                return self.c.answers.finals[job]
+            if job in c.answers.finals:
+                return c.answers.finals[job]
             rec = c.view.jobs.get(job)
             mj = self.managed.get(job)
             if rec is None or mj is None or not c.acts(mj.part):
