--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -209,7 +209,7 @@
 
     def query(self, request: int, job: str) -> Flow:
         """GET of a job."""
-        state = yield from c.answers.lookup(job)
+        state = yield from self.c.answers.lookup(job)
         if state is None:
             self._reply(request, job, 503, UNKNOWN, "state not available", 1)
         elif state == UNKNOWN:
