Stories of what is known ahead of the view, of old reports of slices, and of a cancel's time

Guards that could be taken out on a scratch copy without a story failing get one each: the view's revision, entries ahead of the view, reports from before the cancel, the time counted after a takeover, and the lease that a node's authority counts on.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,6 +10,8 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import Commit
+from marblestair.core.controller import Controller
+from marblestair.core.jobs import PartReport
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.renting import Have, Load, Tuning, plan
 from tests.fakes.world import TYPES, Worker, World, spec
@@ -33,6 +35,14 @@
     return owner(w, w.state.data[keys.JOBS + job][0][1])
 
 
+def running(w: World, name: str) -> Controller:
+    """A controller's core, at this moment."""
+    core = w.cores[name]
+    assert core is not None
+    w.set_time(core)
+    return core
+
+
 def holders(w: World, job: str) -> list[Worker]:
     return [m for m in busy(w) if any(t.job == job for t in m.live.values())]
 
@@ -213,6 +223,63 @@
     assert not w.broken
 
 
+def test_what_is_known_ahead_of_the_view_holds_and_is_not_told() -> None:
+    """An entry heard of by message: the view is older, and slices may come by older records."""
+    w = warm(4040)
+    job = w.submit(spec(1, tasks=9, estimate_s=300.0))
+    w.run(16.0)
+    core = running(w, manager(w, job))
+    part = next(p for p in core.acting() if job in p.slices)
+    rec = core.view.jobs[job]
+    rev = core.view.rev + 5
+    core.cancels.learn(job, rev)
+    assert part.slices[job].cancelled and not part.slices[job].pending
+    # Owners may have changed before the entry was committed, and this view would not show it.
+    for number in rec.slices:
+        core.cancels._entries[job].applied[int(number)] = core.view.split.parts[int(number)].term
+    assert core.cancels.missing(job) is None and not core.cancels.confirmed(job)
+    assert core.answers.local(job) is None
+    # The slice leaves, and comes again by a record that is older than the entry.
+    del part.slices[job]
+    core._sync_slice(part, job)
+    assert part.slices[job].cancelled and not part.slices[job].pending
+
+
+def test_a_job_is_not_over_on_reports_from_before_its_cancel() -> None:
+    w = warm(4041)
+    job = w.submit(spec(1, tasks=9, estimate_s=300.0))
+    w.run(16.0)
+    core = running(w, manager(w, job))
+    assert core.view.split is not None
+    mj, rec = core.jobs.managed[job], core.view.jobs[job]
+    for over in (False, True):
+        for number in rec.slices:
+            term = core.view.split.parts[int(number)].term
+            mj.reports[int(number)] = PartReport(job, int(number), term, 0, 0, 0, 9, over)
+        assert core.jobs._empty(mj, rec) == over
+
+
+def test_after_a_takeover_a_cancels_time_counts_from_before_it() -> None:
+    w = warm(4042)
+    job = w.submit(spec(1, tasks=9, estimate_s=300.0))
+    w.run(16.0)
+    name = min(part_owners(w, job))
+    for m in holders(w, job):
+        m.deaf = True
+    assert w.cancel(job) == "cancelled"
+    told = w.now
+    w.kill(name, back_after=60.0)
+    part = w.node_names.index(name)
+    assert w.until(lambda: owner(w, part) != name, 20.0)
+    w.run(1.0)
+    core = running(w, owner(w, part))
+    s = core.parts[part].slices.get(job)
+    here = (core.now - w.now * w.drift[core.node]) + told * w.drift[core.node]
+    assert s is not None and s.cancelled_at <= here + 0.5
+    w.run(w.cancel_s)
+    assert not w.broken
+
+
 # --- commits that come late, after newer ones of the same process ---------------------------------
 
 
@@ -242,7 +309,10 @@
             w.set_time(core)
             if core.acting():
                 acted = True
-                assert keys.NODES + "n0" in w.state.data
+                held = w.state.data[keys.NODES + "n0"]
+                # What it counts on ends no later than the lease that its key goes with.
+                until = core.authority.until / w.drift["n0"]
+                assert until <= w.state.leases[held[2]][1]
     assert acted and not left[0]
     assert w.finish(job, 200.0)
     assert not w.broken
