--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -759,3 +759,21 @@
     out = plan([load], have, kind, lambda k: False, 0.0, {}, Tuning())
     assert sum(kind[x.type].cpus * x.count for x in out.rent if x.zone == "b") >= 8
     assert all(x.zone == "b" for x in out.rent)
+
+
+def test_a_result_is_forgotten_only_once_a_page_holds_it() -> None:
+    """Else it would be with this process alone, which may end."""
+    w = warm(4230)
+    job = w.submit(spec(1, tasks=12, estimate_s=60.0))
+    w.run(14.0)
+    m = busy(w)[0]
+    part = running(w, owner(w, w.state.data[keys.MACHINES + m.name][0][0])).acting()[0]
+    index = next(i for _, i in m.live)
+    m.tasks[(job, index)].state, m.tasks[(job, index)].why = "exited", "done"
+    forgotten: list[bool] = []
+    for durable in (0, 1 << index):
+        part.slices[job].durable = durable
+        orders = part.report(m.body(), part.machines[m.name].seen + 1.0)
+        assert orders is not None
+        forgotten.append(any(o.op == "forget" and o.index == index for o in orders))
+    assert forgotten == [False, True]
