A limit of zero is no limit: the jobs of guest teams were all refused

Cause: teams without a guarantee have cpus_max 0 in the settings, read as 'may use nothing'; the settings page says '0 means none'. Ruled out by a new log line for refusals: unknown team, tasks too large.

--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -342,7 +342,7 @@
             used.update(g.leaving)
             away.update(g.absent)
         loads = []
-        room: dict[str, float] = {t: team.cpus_max for t, team in c.teams.items()}
+        room: dict[str, float] = {t: team.cpu_limit for t, team in c.teams.items()}
         # What arrays hold of a limit comes free for a gang before long.
         gang_room = dict(room)
         live = sorted(c.view.jobs.values(), key=lambda r: (r.spec.at, r.spec.id))
@@ -430,7 +430,7 @@
                 by_team.setdefault(team, []).append((x.due, left, x.spec.id))
         out: set[str] = set()
         for team, work in by_team.items():
-            limit = max(1.0, self.c.teams[team].cpus_max - taken.get(team, 0.0))
+            limit = max(1.0, self.c.teams[team].cpu_limit - taken.get(team, 0.0))
             out |= hopeless(work, 0.9 * limit)
         return out
 
@@ -481,7 +481,7 @@
                 per_s = sum(c.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
                 self.classes[spec.cls] = Coming(spec, hurry, per_s)
                 self._seen[spec.cls] = c.now
-            else:
+            elif not c.teams[spec.team].is_guest:
                 size = min(spec.tasks * spec.cpus, c.teams[spec.team].cpus)
                 self.usual += 0.1 * (size - self.usual)
                 self._seen[""] = c.now
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -108,6 +108,7 @@
             if state is None:
                 return 503, UNKNOWN, "state service unavailable", 1
             if state == UNKNOWN:
+                c.log("info", f"refused {job} of {spec.cls} for {spec.team}: {reason}")
                 return 422, UNKNOWN, reason, 0
             return 200, state, "", 0
         acting = c.acting()
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -27,7 +27,7 @@
         if spec.one_zone or len(zones) < 2:
             return "its tasks must lie apart, and there is one zone only"
     n = spec.tasks if spec.kind == GANG else 1
-    if n * need[0] > down(team.cpus_max) or n * need[1] > down(team.gpus_max):
+    if n * need[0] > down(team.cpu_limit) or n * need[1] > down(team.gpu_limit):
         return "more than the team's limit"
     return None
 
--- a/marblestair/core/split.py
+++ b/marblestair/core/split.py
@@ -50,8 +50,8 @@
     """The record of a new deployment: no owners, limits split evenly."""
     records = [PartRecord("", 0, 0, {}) for _ in range(parts)]
     for t in teams:
-        cpus = even(down(t.cpus_max), parts)
-        gpus = even(down(t.gpus_max), parts)
+        cpus = even(down(t.cpu_limit), parts)
+        gpus = even(down(t.gpu_limit), parts)
         for p, c, g in zip(records, cpus, gpus, strict=True):
             p.shares[t.name] = [c, g]
     return SplitRecord(0, records)
--- a/marblestair/settings.py
+++ b/marblestair/settings.py
@@ -33,8 +33,12 @@
     state: str
 
 
+#: what a team without a limit may use, in cpus or gpus: more than any fleet has
+UNLIMITED = 1e9
+
+
 class Team(msgspec.Struct, frozen=True):
-    """A team's guarantee and limit."""
+    """A team's guarantee and limit; 0 means that it has none."""
 
     name: str
     cpus: float
@@ -42,6 +46,21 @@
     gpus: float = 0.0
     gpus_max: float = 0.0
 
+    @property
+    def cpu_limit(self) -> float:
+        """The most cpus that the team's tasks may use at once."""
+        return self.cpus_max or UNLIMITED
+
+    @property
+    def gpu_limit(self) -> float:
+        """The most gpus that the team's tasks may use at once."""
+        return self.gpus_max or UNLIMITED
+
+    @property
+    def is_guest(self) -> bool:
+        """Whether the team has no guarantee: it lives on what the others leave free."""
+        return self.cpus == 0 and self.gpus == 0
+
 
 class Objective(msgspec.Struct, frozen=True):
     """One aim, as the operators state it."""
