--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from marblestair.core import keys
-from marblestair.core.calls import Get, PeerCall, StateResult
+from marblestair.core.calls import ACCEPT, Get, PeerCall, StateResult
 from marblestair.core.flow import Step
+from marblestair.core.lookups import Lookups
 from marblestair.core.model import JobRecord
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
     def __init__(self, c: Controller) -> None:
         self.c = c
         self.finals: OrderedDict[str, str] = OrderedDict()
+        state = c.settings.cluster.state
+        self.lookups = Lookups(c.runner, self, state.rps / len(c.settings.nodes))
 
     def final(self, job: str, state: str) -> None:
         self.finals[job] = state
@@ -69,10 +72,14 @@
 
     def lookup(self, job: str) -> Step:
         """The state of any job: UNKNOWN, or None when it cannot be told now."""
-        c = self.c
         local = self.local(job)
         if local is not None:
             return tuple(local)
+        return (yield from self.lookups.find(job))
+
+    def search(self, job: str) -> Step:
+        """The state of a job that this node does not manage, from its manager or a fresh read."""
+        c = self.c
         rec = c.view.jobs.get(job)
         c.cancels.carry(job)
         if rec is not None:
@@ -85,25 +92,25 @@
                     told = self.may_tell(job, (str(got[0]), got[1], got[2]))
                     if told is not None:
                         return told
-        return (yield from self.fresh(job))
+        return (yield from self.lookups.read(job))
 
-    def fresh(self, job: str) -> Step:
+    def fresh(self, job: str, lane: int = ACCEPT) -> Step:
         """A job's state from a fresh read: UNKNOWN, or None when it cannot be told now."""
         c = self.c
-        found = yield from self.read(job)
+        found = yield from self.read(job, lane)
         if found is None or found == UNKNOWN:
             return found
         mj = c.jobs.managed.get(job)
         done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
         return self.may_tell(job, ("running", done, 0) if done else ("queued", 0, 0))
 
-    def read(self, job: str) -> Step:
+    def read(self, job: str, lane: int = ACCEPT) -> Step:
         """Read a job's record, or final state, afresh: its state as kept, UNKNOWN, or None when
         it could not be read. It is taken in, not told."""
         c = self.c
         if c.cut_off():
             return None
-        r: StateResult = yield Get(keys.JOBS + job)
+        r: StateResult = yield Get(keys.JOBS + job, lane)
         if r.status == 200:
             c.view.take_in(keys.JOBS + job, r.value, r.version)
             c.sync()
@@ -113,7 +120,7 @@
             return None
         # In this order: a job that ends between the two reads moves from the first key to the
         # second.
-        f: StateResult = yield Get(keys.FINALS + job)
+        f: StateResult = yield Get(keys.FINALS + job, lane)
         if f.status == 200 and f.value in ("done", "cancelled"):
             self.final(job, f.value)
             return (f.value, None, None)
--- a/marblestair/core/calls.py
+++ b/marblestair/core/calls.py
@@ -15,7 +15,7 @@
 NOT_SENT = -1
 
 #: lanes, in order of precedence within a node's budget of requests
-LEASE, ACCEPT, FINAL, PROGRESS, SPLIT = range(5)
+LEASE, ACCEPT, FINAL, PROGRESS, SPLIT, LOOKUP = range(6)
 
 
 class Get(msgspec.Struct, frozen=True):
--- a/marblestair/core/flow.py
+++ b/marblestair/core/flow.py
@@ -12,9 +12,17 @@
 
 from marblestair.core.calls import Call, Sleep
 
-Flow: TypeAlias = Generator[Call, Any, None]
+
+class Signal:
+    """Something that flows wait for: yielded by each of them, fired once for all."""
+
+    def __init__(self) -> None:
+        self.waiters: list[int] = []
+
+
+Flow: TypeAlias = Generator[Call | Signal, Any, None]
 #: a step of a flow with a result, used with ``yield from``
-Step: TypeAlias = Generator[Call, Any, Any]
+Step: TypeAlias = Generator[Call | Signal, Any, Any]
 
 
 class Runner:
@@ -54,6 +62,12 @@
         if flow is not None:
             self._advance(flow, result)
 
+    def fire(self, signal: Signal, result: Any) -> None:
+        """Resume all flows that wait for a signal."""
+        waiters, signal.waiters = signal.waiters, []
+        for call in waiters:
+            self.complete(call, result)
+
     def wake(self, now: float) -> None:
         """Resume the flows whose sleep is over."""
         self.now = now
@@ -78,7 +92,9 @@
         n = self._next
         self._next += 1
         self._waiting[n] = flow
-        if isinstance(call, Sleep):
+        if isinstance(call, Signal):
+            call.waiters.append(n)
+        elif isinstance(call, Sleep):
             self._sleeping.append((self.now + call.seconds, n))
         else:
             self.calls.append((n, call))
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -157,7 +157,7 @@
                 return 201, ("queued", 0, 0), "", 0
             if r.status in (0, 409):
                 # Perhaps an earlier try of ours, or of the user by way of another node.
-                state = yield from c.answers.lookup(job)
+                state = yield from c.answers.fresh(job)
                 if state is None:
                     break
                 if state != UNKNOWN:
--- /dev/null
+++ b/marblestair/core/lookups.py
@@ -0,0 +1,69 @@
+"""Queries that a node cannot answer from memory: shared per job, few at once, and last in line.
+
+Users may ask many times as often as jobs change, also about jobs that nobody submitted. A query
+that needs another controller or the state service therefore costs at most one search per job at a
+time, and its reads take only the requests to the state service that leases, submissions, cancels
+and progress leave free. What is beyond that is refused at once; the user asks again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marblestair.core.calls import LOOKUP
+from marblestair.core.flow import Flow, Runner, Signal, Step
+
+if TYPE_CHECKING:
+    from marblestair.core.answers import Answers
+
+#: reads under way at once: what a node may ask of the state service within this many seconds
+READ_AHEAD_S = 0.5
+#: reads under way at once, at the least
+LEAST_READS = 4
+
+
+class Lookups:
+    """The searches of one node for states of jobs that it does not manage."""
+
+    def __init__(self, runner: Runner, answers: Answers, requests_per_s: float) -> None:
+        self._runner = runner
+        self._answers = answers
+        self.most_reads = max(LEAST_READS, int(READ_AHEAD_S * requests_per_s))
+        self._reads = 0
+        #: job under search -> what those wait for who asked after the search began
+        self._searches: dict[str, Signal] = {}
+
+    def find(self, job: str) -> Step:
+        """The state of a job, or None when it cannot be told now."""
+        following = self._searches.get(job)
+        if following is not None:
+            # What the search under way has read may be older than what this user was told by
+            # another node before asking here: only a search that begins later may answer.
+            return (yield following)
+        return (yield from self._search(job))
+
+    def read(self, job: str) -> Step:
+        """The state of a job by a fresh read, or None at once when too many are under way."""
+        if self._reads >= self.most_reads:
+            return None
+        self._reads += 1
+        try:
+            return (yield from self._answers.fresh(job, LOOKUP))
+        finally:
+            self._reads -= 1
+
+    def _search(self, job: str) -> Step:
+        following = self._searches[job] = Signal()
+        try:
+            return (yield from self._answers.search(job))
+        finally:
+            del self._searches[job]
+            if following.waiters:
+                self._runner.spawn(self._search_for(job, following))
+
+    def _search_for(self, job: str, waiting: Signal) -> Flow:
+        found = None
+        try:
+            found = yield from self._search(job)
+        finally:
+            self._runner.fire(waiting, found)
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from marblestair.core import keys
-from marblestair.core.calls import PROGRESS, Commit, Get, ListKeys, Put, Sleep, StateResult
+from marblestair.core.calls import LEASE, PROGRESS, Commit, Get, ListKeys, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
 from marblestair.core.part import Part, Slice
 from marblestair.core.ranges import PAGE, decode_bits, encode_bits
@@ -29,7 +29,8 @@
     prefix = f"{keys.PROGRESS}{part.number}/"
     after = ""
     while c.parts.get(part.number) is part:
-        r: StateResult = yield ListKeys(prefix, after, 500)
+        # Until it is read no worker of the part gets an answer: it must not wait behind users.
+        r: StateResult = yield ListKeys(prefix, after, 500, LEASE)
         if r.status != 200:
             yield Sleep(0.1 + 0.2 * c.rng.random())
             continue
--- /dev/null
+++ b/tests/test_lookups.py
@@ -0,0 +1,157 @@
+"""Scenario tests of many queries: what a poll costs, and that it holds up nothing else."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from marblestair.core import keys
+from marblestair.core.calls import LEASE, LOOKUP, Get, ListKeys, PeerCall
+from tests.fakes.world import World, spec
+from tests.test_stories import owner, warm
+
+
+class Recorder:
+    """Records the calls that one node's flows make, and can hold back its reads."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self.calls: list[Any] = []
+        self.held: list[Any] = []
+        self.holding = False
+        self._world = world
+        self._node = node
+        self._plain = world._call
+        world._call = self._call  # type: ignore[method-assign]
+
+    def _call(self, core: Any, number: int, call: Any) -> None:
+        if core.node == self._node:
+            self.calls.append(call)
+            if self.holding and isinstance(call, Get):
+                self.held.append((core, number, call))
+                return
+        self._plain(core, number, call)
+
+    def release(self) -> None:
+        """Send the reads that were held back."""
+        self.holding = False
+        for core, number, call in self.held:
+            self._plain(core, number, call)
+
+    def reads(self, job: str) -> int:
+        """How often a job's keys were read."""
+        wanted = (keys.JOBS + job, keys.FINALS + job)
+        return sum(isinstance(call, Get) and call.key in wanted for call in self.calls)
+
+    def count(self, kind: type) -> int:
+        """How many calls of a kind were made."""
+        return sum(isinstance(call, kind) for call in self.calls)
+
+
+def manager_of(world: World, job: str) -> str:
+    """The node that runs a job's ServerManager."""
+    core = world.cores["n0"]
+    assert core is not None
+    return owner(world, core.view.jobs[job].manager)
+
+
+def test_a_poll_of_the_manager_costs_no_call() -> None:
+    world = warm(410)
+    job = world.submit(spec(1, tasks=12, estimate_s=60.0))
+    world.run(2.0)
+    node = manager_of(world, job)
+    recorder = Recorder(world, node)
+    answers = [world.ask(node, "query", job) for _ in range(200)]
+    assert all(answer and answer[0].status == 200 for answer in answers)
+    assert recorder.calls == []
+
+
+def test_polls_of_one_job_share_one_call_to_its_manager() -> None:
+    world = warm(411)
+    job = world.submit(spec(1, tasks=12, estimate_s=60.0))
+    world.run(2.0)
+    other = next(name for name in world.node_names if name != manager_of(world, job))
+    recorder = Recorder(world, other)
+    answers = [world.ask(other, "query", job) for _ in range(200)]
+    world.run(0.3)
+    assert all(answer and answer[0].status == 200 for answer in answers)
+    queries = [c for c in recorder.calls if isinstance(c, PeerCall) and c.tag == "query"]
+    assert len(queries) == 2
+    assert recorder.reads(job) == 0
+
+
+def test_polls_of_an_unknown_job_share_two_reads_of_its_keys() -> None:
+    world = warm(412)
+    recorder = Recorder(world, "n0")
+    answers = [world.ask("n0", "query", "job-999999") for _ in range(200)]
+    world.run(0.5)
+    assert {answer[0].status for answer in answers} == {404}
+    assert recorder.reads("job-999999") == 4
+
+
+def test_polls_of_many_unknown_jobs_are_refused_at_once_beyond_a_bound() -> None:
+    world = warm(413)
+    core = world.cores["n0"]
+    assert core is not None
+    most = core.answers.lookups.most_reads
+    recorder = Recorder(world, "n0")
+    answers = [world.ask("n0", "query", f"job-{number:06d}") for number in range(900_000, 900_200)]
+    refused = [answer[0] for answer in answers if answer]
+    assert len(refused) == 200 - most
+    assert all(reply.status == 503 and reply.retry_after >= 1 for reply in refused)
+    world.run(0.5)
+    assert all(answer for answer in answers)
+    assert recorder.count(Get) == 2 * most
+    lanes = {c.lane for c in recorder.calls if isinstance(c, Get) and c.key.endswith("900000")}
+    assert lanes == {LOOKUP}
+
+
+@pytest.mark.parametrize("others", [1, 5])
+def test_a_poll_is_never_answered_by_a_read_that_began_before_it(others: int) -> None:
+    """Guards the sharing of reads: what is under way may be older than what the user was told."""
+    world = warm(414)
+    world.isolate("n0", "n1")
+    world.isolate("n0", "n2")
+    recorder = Recorder(world, "n0")
+    recorder.holding = True
+    job = "job-000007"
+    # Begun before the job is submitted, this one may be answered either way.
+    node = world.cores["n0"]
+    assert node is not None
+    node.spawn(node.jobs.query(1 << 40, job))
+    world.flush("n0")
+    missing = [reader for reader in recorder.held if reader[2].key == keys.JOBS + job]
+    assert missing
+    # The read under way finds nothing: it was carried out before the job was accepted.
+    core, number, call = missing[0]
+    recorder.held.remove(missing[0])
+    result = world.state.execute(call, "n0", world.now)
+    assert result.status == 404
+    world.submit(spec(7), node="n1")
+    late = [world.ask("n0", "query", job) for _ in range(others)]
+    recorder.holding = False
+    world._complete(core, number, result)
+    recorder.release()
+    world.run(1.0)
+    assert [reply[0].status for reply in late] == [200] * others
+    assert not world.broken
+
+
+def test_a_takeover_reads_its_pages_ahead_of_users() -> None:
+    """Found by incident inc-40fe: the pages were read in the lane behind all others, polls of the
+    part's jobs filled it, and the workers' leases ran out before the part was ready."""
+    world = warm(415)
+    job = world.submit(spec(1, tasks=12, estimate_s=60.0))
+    world.run(2.0)
+    recorders = [Recorder(world, name) for name in world.node_names]
+    world.kill(manager_of(world, job), back_after=60.0)
+    world.run(8.0)
+    pages = [
+        call
+        for recorder in recorders
+        for call in recorder.calls
+        if isinstance(call, ListKeys) and call.prefix.startswith(keys.PROGRESS)
+    ]
+    assert pages
+    assert {call.lane for call in pages} == {LEASE}
+    assert not world.broken
