Whose fault a failure is: a job with a mistake no longer costs healthy machines

Cause: every task that ended with an error counted against its machine, which rested, and was given back after three; a job with a mistake emptied a fleet that was then rented again, and its first failures held a healthy job back for 30 s. Now core/faults.py decides by distinct counterparts, owners of parts add up what they have seen, and a suspected job tries with one task (or gang) per part at growing intervals, wants no machines, takes no guarantee and comes last.

Tests: tests/test_faults.py; each of its scenarios was seen to fail with its guard taken out.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -19,12 +19,13 @@
 from marblestair.core.calls import Sleep
 from marblestair.core.cancels import Cancels
 from marblestair.core.dispatch import Dispatch
+from marblestair.core.faults import Faults
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
 from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
-from marblestair.core.part import Machine, Part
+from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
 from marblestair.core.renting import absent
@@ -94,6 +95,8 @@
     #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
     #: it is too small for
     stuck: dict[str, list[int]]
+    #: jobs of which nothing succeeded, and on how many machines nothing else fails
+    failing: list[tuple[str, int]] = []
 
 
 class Controller:
@@ -132,6 +135,7 @@
         self.in_touch: dict[str, bool] = {}
         #: room lowered ahead of a commit that gives it to another part
         self.lowered: dict[tuple[int, str], list[int]] = {}
+        self.faults = Faults(settings.cluster.workers)
         self.authority = Authority(self)
         self.answers = Answers(self)
         self.cancels = Cancels(self)
@@ -256,7 +260,8 @@
             names, v.changed_machines = v.changed_machines, set()
             for name in sorted(names):
                 self._sync_machine(name)
-        if v.changed_jobs:
+        jobs_changed = bool(v.changed_jobs)
+        if jobs_changed:
             ids, v.changed_jobs = v.changed_jobs, set()
             for job in sorted(ids):
                 self.cancels.changed(job)
@@ -264,7 +269,9 @@
                     if p.ready:
                         self._sync_slice(p, job)
                 self.jobs.changed(job)
-            self.guaranteed = within_guarantee(v.jobs, self.teams)
+        if jobs_changed or self.faults.changed:
+            self.faults.changed = False
+            self.guaranteed = within_guarantee(v.jobs, self.teams, self.faults.is_suspected)
 
     def _sync_parts(self) -> None:
         s = self.view.split
@@ -280,7 +287,7 @@
                     # began again must not look like one.
                     part.term = rec.term
                 else:
-                    part = Part(i, rec.term, self.settings.cluster, self.now)
+                    part = Part(i, rec.term, self.settings.cluster, self.now, self.faults)
                     part.taken = rec.taken
                     self.parts[i] = part
                     rev = self.view.version(keys.SPLIT)
@@ -468,7 +475,7 @@
         wants: dict[str, list[int]] = {}
         stuck: dict[str, list[int]] = {}
         for s in p.slices.values():
-            n = len(s.pending)
+            n = self._wanted(s)
             if not n or s.cancelled:
                 continue
             backlog += n * s.need[0]
@@ -489,7 +496,7 @@
             used, share = p.usage(team), self.share(p, team)
             shares[team] = [max(0, share[i] - used[i]) for i in range(2)]
         waiting = [
-            (job, len(s.pending) + sum(b - a for a, b in s.leaving), len(s.placed))
+            (job, self._wanted(s) + sum(b - a for a, b in s.leaving), len(s.placed))
             for job, s in p.slices.items()
             if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
         ]
@@ -534,8 +541,17 @@
             leaving=leaving,
             absent=sorted(away),
             stuck=stuck,
+            failing=[x for x in self.faults.failing() if x[0] in p.slices],
         )
 
+    def _wanted(self, s: Slice) -> int:
+        """Tasks of a slice that room is wanted for: of a job that probably fails on every machine
+        one at a time, and none of a gang, which tries where there is room."""
+        n = len(s.pending)
+        if n and self.faults.is_suspected(s.spec.id):
+            return int(s.spec.kind != GANG and not s.placed)
+        return n
+
     def status(self) -> dict[str, Any]:
         """What this node sees and does, for operators."""
         split = self.view.split
@@ -578,6 +594,7 @@
                 for raw in args[1]:
                     g = msgspec.convert(raw, Gossip)
                     self.gossip[g.part] = (self.now, g)
+                    self.faults.told(g.part, g.failing, self.now)
                 self.in_touch[node] = bool(args[2])
                 self.fleet.told_refusals(args[3])
             elif tag == "progress":
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from marblestair.core.model import GANG
@@ -75,6 +75,7 @@
     def _order(self, part: Part) -> list[Slice]:
         wall, f = self.c.wall, self.c.factor
         guaranteed, hopeless, lead = self.c.guaranteed, self.c.fleet.hopeless, self.c.lead_s
+        suspected = self.c.faults.is_suspected
         waiting = [s for s in part.slices.values() if s.pending.count and not s.cancelled]
         waiting.sort(
             key=lambda s: order_key(
@@ -83,6 +84,7 @@
                 s.spec.id in hopeless,
                 wall + lead.get(s.spec.cls, 0.0),
                 f.get(s.spec.cls, 1.0),
+                suspected(s.spec.id),
             )
         )
         return waiting
@@ -102,7 +104,8 @@
         old = [s for s in order if wall - s.spec.at > BOUND_S]
         if old:
             self._help(part, old, usable, free, queue)
-            gangs = [s for s in old if s.spec.kind == GANG]
+            suspected = self.c.faults.is_suspected
+            gangs = [s for s in old if s.spec.kind == GANG and not suspected(s.spec.id)]
             if gangs:
                 order = [*gangs, *(s for s in order if s not in gangs)]
         queue.order = order
@@ -118,7 +121,7 @@
         full: dict[str, int] = {}
         survey = self.c.preemption.survey(part)
         for s in order:
-            if s.suspect or now < s.not_before:
+            if self._held_back(s):
                 continue
             if s.spec.kind != GANG:
                 need = s.need[0]
@@ -128,7 +131,11 @@
                     free = [m for m in free if m.free[0] >= least]
                 elif not self._room(part, s, held):
                     full[s.spec.team] = need
-            elif not self._gang(part, s, free, held) and not s.placed:
+            elif (
+                not self._gang(part, s, free, held)
+                and not s.placed
+                and not self.c.faults.is_suspected(s.spec.id)
+            ):
                 n = len(s.pending)
                 h = held.setdefault(s.spec.team, [0, 0])
                 if self.c.fleet.hurried(s.spec):
@@ -173,7 +180,7 @@
             free = m.free[0]
             if free < queue.least:
                 return
-            if not self._waits(part, s) or s.suspect or now < s.not_before:
+            if not self._waits(part, s) or self._held_back(s):
                 continue
             team, need = s.spec.team, s.need
             if s.spec.kind == GANG:
@@ -181,6 +188,8 @@
                     continue
                 if free >= need[0] and self._gang(part, s, None, held):
                     continue
+                if self.c.faults.is_suspected(s.spec.id):
+                    continue
                 h = held.setdefault(team, [0, 0])
                 h[0] += len(s.pending) * need[0]
                 h[1] += len(s.pending) * need[1]
@@ -191,6 +200,10 @@
                     if closed == len(queue.teams) and free < queue.gangs:
                         return
 
+    def _held_back(self, s: Slice) -> bool:
+        """Whether a slice may not start anything now, whatever room there is."""
+        return s.suspect or self.c.faults.must_wait(s.spec.id, self.c.now)
+
     def _waits(self, part: Part, s: Slice) -> bool:
         """Whether a slice of the queue, which may be a moment old, still waits here."""
         return bool(s.pending.count) and not s.cancelled and part.slices.get(s.spec.id) is s
@@ -217,7 +230,12 @@
         c = self.c
         hurry = HURRY if s.spec.id in c.guaranteed else 1.0
         share = self._share(part, s, held)
-        keep: Container[str] = c.fleet.reserved.keys()
+        if c.faults.is_suspected(s.spec.id):
+            if s.placed:
+                return 0
+            # It tries with one task at a time.
+            most = min(most, 1)
+        keep: Collection[str] = c.fleet.reserved.keys()
         drain = c.fleet.drained
         waited = c.now - s.waiting_since
         if keep and not s.placed and waited > BESIDE_S:
@@ -226,6 +244,9 @@
             if not any(m.name not in kept and m.free[0] >= s.need[0] for m in free):
                 # One task is enough not to wait; the rest leaves the gang its machines.
                 most = min(most, 1)
+        avoided = c.faults.avoided(s.spec.id, c.now)
+        if avoided:
+            keep = avoided.union(keep)
         return place_array(part, s, share, usable, free, c.now, c.rng, keep, drain, hurry, most)
 
     def _gang(
@@ -235,7 +256,8 @@
         c = self.c
         need = s.need[0]
         machines = part.machines.values() if free is None else free
-        options = [m for m in machines if m.free[0] >= need]
+        avoided = c.faults.avoided(s.spec.id, c.now)
+        options = [m for m in machines if m.free[0] >= need and m.name not in avoided]
         if free is not None:
             # Those that are claimed for this gang are not among them.
             options += [m for m in c.preemption.claimed_for(part, s.spec.id) if m not in options]
@@ -269,7 +291,7 @@
                 held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
         begun = {s.spec.id: bool(s.placed or s.done_count) for s in old}
         for s in sorted(old, key=lambda s: (begun[s.spec.id], s.spec.at, s.spec.id)):
-            if s.suspect or s.spec.kind == GANG or c.now < s.not_before:
+            if s.spec.kind == GANG or self._held_back(s) or c.faults.is_suspected(s.spec.id):
                 continue
             if begun[s.spec.id] and c.wall - s.spec.at < OLD_S:
                 continue
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -136,7 +136,7 @@
                 return
             spec, need = s.spec, s.need
             whole = spec.kind == GANG or spec.one_zone or spec.spread
-            if s.suspect or s.leaving or s.stopping_gang or c.now < s.not_before:
+            if s.suspect or s.leaving or s.stopping_gang or c.faults.is_suspected(spec.id):
                 continue
             if c.now - s.waiting_since < 0.3 or (whole and (s.placed or s.done_count)):
                 continue
@@ -217,6 +217,8 @@
         """Whether tasks that must start together have waited here for room in vain."""
         whole = s.spec.kind == GANG or s.spec.one_zone or s.spec.spread
         waited = self.c.now - s.waiting_since > 1.5 * self.c.settings.cluster.workers.report_s
+        if self.c.faults.is_suspected(s.spec.id):
+            return False
         return whole and waited and not (s.placed or s.leaving or s.suspect or s.cancelled)
 
     def lend(self, part: Part) -> None:
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -12,6 +12,7 @@
 
 from collections import OrderedDict
 
+from marblestair.core.faults import Faults
 from marblestair.core.model import (
     GANG,
     SERVICE,
@@ -138,8 +139,8 @@
         self.often_since = now
         #: answers to reports that did not carry this part's term yet
         self.untaken = 0
+        #: it rests after a failure that counts against it
         self.not_before = -1e9
-        self.errors = 0
         self.idle_since: float | None = now
         self.images: OrderedDict[str, float] = OrderedDict()
 
@@ -212,8 +213,6 @@
         self.cancelled_at = 0.0
         #: held before the takeover: some task may be on a machine that has not reported yet
         self.suspect = False
-        self.errors = 0
-        self.not_before = -1e9
         self.attempt = 0
         #: version of the job record that this reflects
         self.version = 0
@@ -242,7 +241,15 @@
 class Part:
     """The state of one part while this controller owns it under one term."""
 
-    def __init__(self, number: int, term: int, cluster: Cluster, now: float) -> None:
+    def __init__(
+        self,
+        number: int,
+        term: int,
+        cluster: Cluster,
+        now: float,
+        faults: Faults | None = None,
+    ) -> None:
+        self.faults = faults if faults is not None else Faults(cluster.workers)
         self.number = number
         self.term = term
         self.cluster = cluster
@@ -654,14 +661,11 @@
             if s is not None:
                 if p.run_since is not None:
                     self.finished.append((s.spec, now - p.run_since))
-                m.errors = 0
+                self.faults.succeeded(p.job, m.name)
                 self._done(s, p.index, now)
         elif t.why == "error":
-            m.errors += 1
-            m.not_before = now + min(30.0, 2.0 * m.errors)
-            if s is not None:
-                s.errors += 1
-                s.not_before = now + min(30.0, 0.5 * 2 ** min(s.errors, 6))
+            self.faults.failed(p.job, m.name, s is not None and s.done_count > 0, now)
+            m.not_before = max(m.not_before, now + self.faults.rest_s(m.name))
         elif t.why in ("no_room", "unknown", "busy"):
             m.not_before = now + 2 * self.cluster.workers.report_s
         self._gone(m, p, now)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -495,7 +495,7 @@
         late = not m.session and now - m.added > BOOT_PATIENCE * boot + lease_s
         lost = m.silent and m.session and now - max(m.seen, part.since) > 1.5 * lease_s
         lost = (lost and m.name not in waited_for) or m.failed
-        faulty = m.errors >= 3 and not m.placed
+        faulty = not m.placed and part.faults.is_faulty(m.name)
         # A machine that is taken back is of no more use once it is empty; and once it is due to
         # be gone, the cloud's word for it settles its tasks sooner than their lease would.
         taken = m.notice_at is not None and (
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from marblestair.core.model import GANG, PRIORITIES, JobRecord, JobSpec, MachineType, down, up
 from marblestair.settings import Team
 
@@ -32,15 +34,19 @@
     return None
 
 
-def within_guarantee(jobs: dict[str, JobRecord], teams: dict[str, Team]) -> set[str]:
+def within_guarantee(
+    jobs: dict[str, JobRecord],
+    teams: dict[str, Team],
+    is_suspected: Callable[[str], bool],
+) -> set[str]:
     """Jobs that fit into their team's guarantee together with the team's earlier unfinished
-    jobs."""
+    jobs; those that probably fail on every machine take nothing from it."""
     used: dict[str, list[int]] = {}
     out: set[str] = set()
     for rec in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
         spec = rec.spec
         team = teams.get(spec.team)
-        if team is None or rec.cancelled:
+        if team is None or rec.cancelled or is_suspected(spec.id):
             continue
         u = used.setdefault(spec.team, [0, 0])
         u[0] += spec.tasks * up(spec.cpus)
@@ -51,15 +57,20 @@
 
 
 def order_key(
-    spec: JobSpec, guaranteed: bool, hopeless: bool, wall: float, factor: float
+    spec: JobSpec,
+    guaranteed: bool,
+    hopeless: bool,
+    wall: float,
+    factor: float,
+    suspected: bool = False,
 ) -> tuple[int, int, int, float, str]:
     """Smaller is served first: guarantees and high priority, then priority, then slack to the
-    deadline or age. A factor corrects the estimate."""
-    late = 0
+    deadline or age. A factor corrects the estimate. What probably fails anyway comes last."""
+    late = 4 * int(suspected)
     if spec.deadline_s is not None:
         slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
         # What cannot be done by a deadline and half any more is of least use.
-        late = int(hopeless) + 2 * int(slack + 0.5 * spec.deadline_s < 0)
+        late += int(hopeless) + 2 * int(slack + 0.5 * spec.deadline_s < 0)
     else:
         slack = spec.at - wall + 120.0
     first = guaranteed or PRIORITIES[spec.priority] >= PRIORITIES["high"]
