A controller that lost its workers gets no part back at once, and accepts for others

Then, without a part, it refused every submission (43 answers of 503).

Tests: tests/test_lost_workers.py, seen to fail without each of the two changes.

--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -33,6 +33,8 @@
 LEASE_RATIO = 0.4
 #: a node that has to be out of touch with its machines this long gives its parts away
 ISOLATED = 0.35
+#: leases of a worker for which a node that lost touch with its workers asks for no part
+REST_LEASES = 4.0
 #: share of a node's requests to the state service that its watch may take
 WATCH_SHARE = 0.2
 #: a node's leases within which a part of a node that fell has a new owner, as a rule
@@ -69,6 +71,8 @@
         #: when a renewal last succeeded, and whether the latest one did
         self.renewed = -1e9
         self.failing = False
+        #: until when this node asks for no part, because it lost touch with its workers
+        self._resting_until = -1e9
         #: version of the split at which a takeover was sent whose fate is unknown
         self._take_doubt = -1
 
@@ -87,6 +91,14 @@
         """Whether this node may act for a part."""
         return part is not None and part.ready and not part.closing and self.holds(now)
 
+    def resting(self, now: float) -> bool:
+        """Whether this node has lost touch with its workers a short while ago."""
+        return now < self._resting_until
+
+    def heard_worker(self) -> None:
+        """A worker has reached this node."""
+        self._resting_until = -1e9
+
     # --- flows -----------------------------------------------------------------------------
 
     def boot(self) -> Flow:
@@ -407,6 +419,9 @@
             if others and movable:
                 target = min(others, key=lambda n: (owned[n], n))
                 c.log("info", f"out of touch with the machines: giving part to {target}")
+                # Without a part no worker turns to this node, whether or not it could: whether it
+                # is in touch again shows only when it is given one.
+                self._resting_until = now + REST_LEASES * c.settings.cluster.workers.lease_s
                 self._hand(movable[-1], target, now)
             return
         if len(mine) < 2 or not movable:
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -33,6 +33,9 @@
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
+#: boot times after which a machine that was rented is expected to report
+BOOTED = 2.0
+
 
 class Reply(msgspec.Struct, frozen=True):
     """Final answer to a user's request."""
@@ -235,18 +238,32 @@
             ISOLATED * self.settings.cluster.workers.lease_s,
             2.5 * self.settings.cluster.workers.report_s,
         )
-        known = [
-            m
+        heard = [
+            max(m.seen, p.since)
             for p in self.parts.values()
             if p.ready
             for m in p.machines.values()
-            if m.settled and not m.condemned and not m.releasing
+            if self._should_report(p, m) and not m.condemned and not m.releasing
         ]
-        if not known or now - max(m.seen for m in known) < limit:
+        if not heard or now - max(heard) < limit:
             return False
         peers = [n for n in self.view.nodes if n != self.node]
         deaf = all(now - self.heard.get(n, self.started) > limit for n in peers)
-        return bool(peers) and (deaf or len(known) > 1)
+        return bool(peers) and (deaf or len(heard) > 1)
+
+    def _should_report(self, part: Part, m: Machine) -> bool:
+        """Whether a machine is up as far as is known: it has reported under this part's term, or
+        it was there at the takeover and has had time to boot."""
+        if m.settled:
+            return True
+        rec = self.view.machines.get(m.name)
+        if m.name not in part.suspects or rec is None or m.type is None:
+            return False
+        return self.wall - rec.since > BOOTED * m.type.boot_s
+
+    def in_touch_with_workers(self) -> bool:
+        """Whether this node can be given parts, as far as it can tell."""
+        return not self.isolated(self.now) and not self.authority.resting(self.now)
 
     # --- following the view ----------------------------------------------------------------
 
@@ -387,6 +404,7 @@
     def report(self, rep: Report) -> tuple[int, int, list[Order], str | None]:
         """A worker's report: status, token, orders, and the node to report to."""
         now = self.now
+        self.authority.heard_worker()
         rec = self.view.machines.get(rep.machine)
         if rec is None:
             return self.fleet.stranger(rep)
@@ -459,7 +477,7 @@
             g = self.measure(p)
             self.gossip[p.number] = (self.now, g)
             told.append(msgspec.to_builtins(g))
-        args = [self.incarnation, told, not self.isolated(self.now), self.fleet.refusals()]
+        args = [self.incarnation, told, self.in_touch_with_workers(), self.fleet.refusals()]
         for peer in self.settings.others:
             self.tell(peer.node, "gossip", args)
 
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -37,6 +37,8 @@
 #: time for another controller to answer a cancel, within the 5 s that a user waits; what is left
 #: of them is for the state service
 CANCEL_PEER_S = 2.5
+#: time for which what an owner told of its part is recent enough to accept jobs into it
+GOSSIP_FRESH_S = 4.0
 #: time for the owners of slices to apply a cancel that is entered by way of the record
 SETTLE_S = 1.0
 
@@ -111,16 +113,34 @@
                 c.log("info", f"refused {job} of {spec.cls} for {spec.team}: {reason}")
                 return 422, UNKNOWN, reason, 0
             return 200, state, "", 0
-        acting = c.acting()
-        if not acting:
+        manager = self._manager_part()
+        if manager is None:
             return 503, UNKNOWN, "no part to accept into", 2
         if not self.stage.enter():
             return 429, UNKNOWN, "too many submissions", self.stage.retry_after()
         try:
-            return (yield from self._accept(spec, acting[c.rng.randrange(len(acting))]))
+            return (yield from self._accept(spec, manager))
         finally:
             self.stage.leave()
 
+    def _manager_part(self) -> int | None:
+        """The part whose owner is to run a new job's ServerManager: one that this node acts for,
+        or, where it has none, one whose owner was heard just now.
+
+        A job is accepted by the commit of its record, which needs no authority over the part; its
+        owner finds the record by its watch."""
+        c = self.c
+        numbers = [part.number for part in c.acting()]
+        if not numbers and c.authority.holds(c.now) and c.view.split is not None:
+            numbers = [i for i, p in enumerate(c.view.split.parts) if self._is_heard(i, p.term)]
+        return numbers[c.rng.randrange(len(numbers))] if numbers else None
+
+    def _is_heard(self, number: int, term: int) -> bool:
+        """Whether a part's present owner has told of it within the last seconds."""
+        told_at, gossip = self.c.gossip.get(number, (-1e9, None))
+        fresh = self.c.now - told_at <= GOSSIP_FRESH_S
+        return gossip is not None and fresh and gossip.term == term
+
     def _known(self, job: str) -> Step:
         state = yield from self.c.answers.lookup(job)
         if state is None:
@@ -129,20 +149,20 @@
             return 503, UNKNOWN, "state not available", 1
         return 200, state, "", 0
 
-    def _accept(self, spec: JobSpec, part: Part) -> Step:
+    def _accept(self, spec: JobSpec, manager: int) -> Step:
         c = self.c
         job = spec.id
         rec = JobRecord(
             msgspec.structs.replace(spec, at=round(c.wall, 3)),
-            part.number,
-            self._assign(spec, part),
+            manager,
+            self._assign(spec, manager),
             [],
         )
         key = keys.JOBS + job
         for _ in range(3):
-            if not c.acts(part.number):
+            if not c.authority.holds(c.now):
                 return 503, UNKNOWN, "no authority", 1
-            guards = [(key, 0), (keys.FINALS + job, 0), c.fence(part.number)]
+            guards = [(key, 0), (keys.FINALS + job, 0), c.fence(manager)]
             commit = Commit(guards, [Put(key, rec)], [], ACCEPT)
             r: StateResult = yield commit
             if r.status == 200:
@@ -168,16 +188,16 @@
             break
         return 503, UNKNOWN, "state service unavailable", 1
 
-    def _assign(self, spec: JobSpec, home: Part) -> dict[str, list[list[int]]]:
+    def _assign(self, spec: JobSpec, manager: int) -> dict[str, list[list[int]]]:
         """Which part gets which slice at first; unstarted ones can migrate later."""
         c = self.c
         s = c.view.split
         assert s is not None
         load: dict[int, float] = {}
         for i, p in enumerate(s.parts):
-            t, g = c.gossip.get(i, (-1e9, None))
-            if i != home.number and (g is None or c.now - t > 4.0 or g.term != p.term):
+            if i != manager and not self._is_heard(i, p.term):
                 continue
+            g = c.gossip[i][1] if i in c.gossip else None
             load[i] = (g.backlog - sum(r[3] for r in g.rooms)) if g is not None else 0.0
         unit = spec.tasks if spec.kind == GANG else 1
         need = spec.need
@@ -186,7 +206,7 @@
             for i in load
             if s.parts[i].shares.get(spec.team, [0, 0])[0] >= unit * need[0]
             and s.parts[i].shares.get(spec.team, [0, 0])[1] >= unit * need[1]
-        ] or [home.number]
+        ] or [manager]
         whole = spec.kind == GANG or spec.one_zone or spec.spread
         if whole or spec.tasks < 2 * len(able):
             n = spec.tasks if whole else 1
@@ -196,7 +216,7 @@
                 # Else where it may stop what runs there.
                 fitting = [i for i, g in told.items() if gang_fits(spec, need, g.rooms + g.held, n)]
             able = fitting or able
-            best = min(able, key=lambda i: (load[i], i != home.number, i))
+            best = min(able, key=lambda i: (load[i], i != manager, i))
             if best in told and spec.kind == GANG:
                 # Several that come at once are not all sent to the same machine.
                 reserve(told[best], spec, n)
