A new owner does not send refused rentals of minutes before again

Now only intents of the last two leases are carried out; older ones are deleted, and one turn in five of the progress writer deletes what is of no use. Orphans of an older rental are found by the list or by their reports, as before.

Ruled out: the plan (it asks for nothing at that time), spares for gangs (none set aside).

Tests: tests/test_rental_intents.py, seen to fail with each guard taken out.

--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -19,6 +19,7 @@
     CloudTypes,
     Commit,
     Inspect,
+    Item,
     Listed,
     ListKeys,
     Put,
@@ -60,10 +61,23 @@
 #: share of the capacity that must lack before what is refused is asked for elsewhere at
 #: once, and not only with the next plan
 HASTY = 0.1
+#: leases of a worker within which a new owner carries out what an earlier one meant to rent
+RECENT_LEASES = 2.0
 #: machines in one rental, at most, by the cloud's interface
 MAX_RENT = 50
 
 
+class RentalIntent(msgspec.Struct, array_like=True, frozen=True):
+    """A rental request, recorded before it is sent."""
+
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    #: wall-clock time at which it was recorded
+    at: float | None = None
+
+
 class Fleet:
     """What this node does about machines."""
 
@@ -551,9 +565,9 @@
         self._hires += 1
         name = f"r-{part.term}-{self._hires}"
         key = keys.hire(part.number, name)
-        value = [want.type, want.zone, want.spot, want.count]
+        intent = RentalIntent(want.type, want.zone, want.spot, want.count, round(c.wall, 1))
         r: StateResult = yield Commit(
-            [(key, 0), c.fence(part.number)], [Put(key, value)], [], SPLIT
+            [(key, 0), c.fence(part.number)], [Put(key, intent)], [], SPLIT
         )
         if r.status != 200:
             if r.status == 0:
@@ -621,23 +635,37 @@
         return count
 
     def _finish_hires(self, part: Part) -> Flow:
-        """Carry out the rentals that an earlier owner recorded: the same name gives the same
-        machines, so none is left unused and paid for."""
+        """Carry out the rentals that an earlier owner recorded just before its end: the same name
+        gives the same machines, so none is left unused and paid for.
+
+        Older intents were refused, or their machines are recorded, listed or reporting by now;
+        sending them again would rent machines that nobody needs any more."""
         c = self.c
         prefix = f"{keys.HIRES}{part.number}/"
+        after = ""
         while c.parts.get(part.number) is part:
-            r: StateResult = yield ListKeys(prefix, "", 200)
-            if r.status == 200:
-                for i in r.items:
-                    if c.parts.get(part.number) is not part:
-                        return
-                    name = i.key[len(prefix) :]
-                    if name.startswith(f"r-{part.term}-"):
-                        continue
-                    t, zone, spot, count = i.value
-                    yield from self._hire(part, name, Want(t, zone, spot, count), i.version)
+            r: StateResult = yield ListKeys(prefix, after, 200)
+            if r.status != 200:
+                yield Sleep(0.5)
+                continue
+            for item in r.items:
+                if c.parts.get(part.number) is not part:
+                    return
+                name = item.key[len(prefix) :]
+                if not name.startswith(f"r-{part.term}-"):
+                    yield from self._finish_hire(part, name, item)
+            if not r.more or not r.items:
                 return
-            yield Sleep(0.5)
+            after = r.items[-1].key
+
+    def _finish_hire(self, part: Part, name: str, item: Item) -> Step:
+        intent = msgspec.convert(item.value, RentalIntent)
+        lease_s = self.c.settings.cluster.workers.lease_s
+        if intent.at is not None and self.c.wall - intent.at > RECENT_LEASES * lease_s:
+            part.trash[item.key] = item.version
+            return
+        want = Want(intent.type, intent.zone, intent.spot, intent.count)
+        yield from self._hire(part, name, want, item.version)
 
     def _release(self, part: Part, machines: list[Machine]) -> Step:
         """Give machines back. Their tasks are gone once the cloud has said so, not before."""
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -21,6 +21,8 @@
 
 #: share of a node's changes that progress may take, so that it holds nothing else up
 SHARE = 0.35
+#: of so many turns one is left to deleting what is of no use, however much progress there is
+SWEEP_EVERY = 5
 
 
 def load_progress(c: Controller, part: Part) -> Step:
@@ -103,7 +105,7 @@
     state = c.settings.cluster.state
     ops = c.batch
     rate = SHARE * state.write_rps / len(c.settings.nodes)
-    spent = 0
+    spent = turn = 0
     mask = (1 << PAGE) - 1
     while c.parts.get(part.number) is part:
         held = [p for p in c.parts.values() if p.ready]
@@ -113,9 +115,11 @@
         if not c.acts(part.number):
             continue
         batch = _dirty(part, c.now)[:ops]
+        turn += 1
+        if part.trash and (not batch or turn % SWEEP_EVERY == 0):
+            spent = yield from _sweep(c, part, ops)
+            continue
         if not batch:
-            if part.trash:
-                spent = yield from _sweep(c, part, ops)
             continue
         written = []
         guards = [c.fence(part.number)]
--- /dev/null
+++ b/tests/test_rental_intents.py
@@ -0,0 +1,100 @@
+"""Scenario tests of rentals that were recorded and not finished when a part changed hands."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from marblestair.core import keys, progress
+from marblestair.core.calls import CloudRent
+from tests.fakes.world import World, spec
+from tests.test_stories import owner
+
+
+class Rentals:
+    """Records the names of the rental requests that reach the cloud."""
+
+    def __init__(self, world: World) -> None:
+        self.names: list[str] = []
+        self._plain = world.cloud
+        world.cloud = self._cloud  # type: ignore[method-assign]
+
+    def _cloud(self, call: Any) -> Any:
+        if isinstance(call, CloudRent):
+            self.names.append(call.name)
+        return self._plain(call)
+
+
+def test_what_is_of_no_use_is_deleted_however_busy_a_part_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World(450, 1)
+    world.run(4.0)
+    world.submit(spec(1, tasks=4, estimate_s=300.0))
+    world.run(15.0)
+    core = world.cores["n0"]
+    assert core is not None
+    part = core.acting()[0]
+    for number in range(20):
+        world.state.rev += 1
+        key = keys.hire(part.number, f"r-0-{number}")
+        world.state.data[key] = (["t4", "a", False, 2, core.wall], world.state.rev, None)
+        part.trash[key] = world.state.rev
+    slices = list(part.slices.values())
+    # There is always progress to write.
+    monkeypatch.setattr(progress, "_dirty", lambda part, now: [(slices[0], 0)])
+    world.run(60.0)
+    assert not [key for key in world.state.data if key.startswith(f"{keys.HIRES}0/r-0-")]
+    assert not world.broken
+
+
+@pytest.mark.parametrize(("age_s", "sent"), [(300.0, False), (30.0, False), (5.0, True)])
+def test_a_new_owner_does_not_send_old_refused_rentals_again(age_s: float, sent: bool) -> None:
+    """Found on simulated days with a crash: a new owner sent every refused request of minutes
+    before, one after the other, and got machines for them long after the need was over."""
+    world = World(451, 3)
+    world.capacity = 100
+    world.run(4.0)
+    core = world.cores["n0"]
+    assert core is not None
+    for number in range(20):
+        intent = ["t4", "a", False, 2, core.wall - age_s]
+        world.state.rev += 1
+        key = keys.hire(0, f"r-1-{900 + number}")
+        world.state.data[key] = (intent, world.state.rev, None)
+    rentals = Rentals(world)
+    world.kill(owner(world, 0), back_after=60.0)
+    world.run(40.0)
+    again = [name for name in rentals.names if name.startswith("r-1-9")]
+    assert bool(again) is sent
+    assert len(world.workers) == (40 if sent else 0)
+    # None is left behind.
+    assert not [key for key in world.state.data if key.startswith(f"{keys.HIRES}0/r-1-9")]
+    assert not world.broken
+
+
+def test_a_rental_of_the_moment_of_a_fall_is_carried_out() -> None:
+    world = World(452, 3)
+    world.run(4.0)
+    plain = world.cloud
+    lost: list[str] = []
+
+    def unanswered(call: Any) -> Any:
+        result = plain(call)
+        if isinstance(call, CloudRent) and call.name not in lost:
+            # Carried out, but the process falls before it hears of it.
+            lost.append(call.name)
+            for name in world.node_names:
+                if world.cores[name] is not None:
+                    world.kill(name, back_after=1.0)
+        return result
+
+    world.cloud = unanswered  # type: ignore[method-assign]
+    world.submit(spec(1, tasks=4, estimate_s=5.0))
+    assert world.until(lambda: bool(lost), 20.0)
+    world.cloud = plain  # type: ignore[method-assign]
+    first = set(world.hires[lost[0]])
+    assert world.finish("job-000001", 90.0)
+    assert first & {name for _, _, _, name, _ in world.starts}
+    assert not world.broken
