Guests come after all others and make room for guaranteed work; a tenth is left to them

Cause: the work of a guest team without a deadline came before arrays that are late, and long guest tasks filled the machines that jobs within a guarantee need at once. A job within its team's guarantee that finds no room now stops guests' tasks, at the least lost work first, down to a tenth of the part.

Tests: tests/test_guest_teams.py, each seen to fail without its guard.

--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from typing import TYPE_CHECKING
 
+from marblestair.core.guests import GuestTasks
 from marblestair.core.model import GANG
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.placement import place_array, place_gang
@@ -85,6 +86,7 @@
                 wall + lead.get(s.spec.cls, 0.0),
                 f.get(s.spec.cls, 1.0),
                 suspected(s.spec.id),
+                self.c.teams[s.spec.team].is_guest,
             )
         )
         return waiting
@@ -120,17 +122,21 @@
         #: team -> least that found no room under its share
         full: dict[str, int] = {}
         survey = self.c.preemption.survey(part)
+        guest_tasks = GuestTasks(self.c, part)
         for s in order:
             if self._held_back(s):
                 continue
             if s.spec.kind != GANG:
                 need = s.need[0]
-                if not free or full.get(s.spec.team, 1 << 62) <= need:
+                if full.get(s.spec.team, 1 << 62) <= need:
                     continue
-                if self._array(part, s, usable, free, held):
+                if free and self._array(part, s, usable, free, held):
                     free = [m for m in free if m.free[0] >= least]
                 elif not self._room(part, s, held):
                     full[s.spec.team] = need
+                    continue
+                if s.pending.count and s.spec.id in self.c.guaranteed:
+                    guest_tasks.stop_for(s, self._lack(part, s, held))
             elif (
                 not self._gang(part, s, free, held)
                 and not s.placed
@@ -218,6 +224,11 @@
         share, used = self._share(part, s, held), part.usage(s.spec.team)
         return used[0] + s.need[0] <= share[0] and used[1] + s.need[1] <= share[1]
 
+    def _lack(self, part: Part, s: Slice, held: dict[str, list[int]]) -> int:
+        """Cpus that a slice's waiting tasks may use beyond what they have."""
+        room = self._share(part, s, held)[0] - part.usage(s.spec.team)[0]
+        return max(0, min(room, s.pending.count * s.need[0]))
+
     def _array(
         self,
         part: Part,
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -63,10 +63,12 @@
     wall: float,
     factor: float,
     suspected: bool = False,
+    is_guest: bool = False,
 ) -> tuple[int, int, int, float, str]:
     """Smaller is served first: guarantees and high priority, then priority, then slack to the
-    deadline or age. A factor corrects the estimate. What probably fails anyway comes last."""
-    late = 4 * int(suspected)
+    deadline or age. A factor corrects the estimate. Guests come after all others, and what
+    probably fails anyway comes last."""
+    late = 8 * int(suspected) + 4 * int(is_guest)
     if spec.deadline_s is not None:
         slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
         # What cannot be done by a deadline and half any more is of least use.
--- a/tests/test_guest_teams.py
+++ b/tests/test_guest_teams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marblestair.core.shares import refusal
+from marblestair.core.shares import order_key, refusal
 from marblestair.core.split import first
 from marblestair.settings import UNLIMITED, Team
 from tests.fakes.world import TYPES, World, spec
@@ -53,3 +53,65 @@
     ]
     assert all(world.finish(job, 120.0) for job in jobs)
     assert not world.broken
+
+
+def test_guests_make_room_for_guaranteed_work_and_keep_a_little() -> None:
+    world = deployment(402)
+    world.capacity = 6
+    filling = world.submit(
+        spec(1, team="guest", priority="low", tasks=200, estimate_s=400.0, checkpoint_s=5.0)
+    )
+    world.run(40.0)
+    full = [m for m in world.workers.values() if m.up and not m.deleted]
+    assert len(full) == 6
+    assert sum(len(m.live) for m in full) >= 24
+    urgent = world.submit(spec(2, tasks=8, estimate_s=30.0))
+    moment = world.now
+    assert world.until(lambda: sum(job == urgent for _, job, *_ in world.starts) == 8, 12.0)
+    assert world.now - moment < 12.0
+    live = [task.job for m in full for task in m.live.values()]
+    # No more was stopped than was needed, and what was goes on afterwards.
+    assert live.count(filling) >= 24 - 8 - 4
+    assert not world.broken
+
+
+def test_work_beyond_a_guarantee_does_not_stop_guests() -> None:
+    world = deployment(403)
+    world.capacity = 6
+    filling = world.submit(spec(1, team="guest", priority="low", tasks=200, estimate_s=400.0))
+    world.run(40.0)
+    before = sum(job == filling for _, job, *_ in world.starts)
+    # Its team's guarantee is smaller than the job.
+    world.submit(spec(2, tasks=20, estimate_s=30.0))
+    world.run(10.0)
+    live = [task.job for m in world.workers.values() for task in m.live.values()]
+    assert live.count(filling) == before
+    assert not world.broken
+
+
+def test_guests_are_served_after_all_others_even_late_ones() -> None:
+    late = spec(1, deadline_s=10.0)
+    low = spec(2, priority="low")
+    guest = spec(3, team="guest", priority="high")
+    keys = [
+        order_key(job, False, False, 1000.0, 1.0, False, job.team == "guest")
+        for job in (low, late, guest)
+    ]
+    assert keys == sorted(keys)
+
+
+def test_a_little_is_left_to_guests_whatever_is_guaranteed() -> None:
+    teams = [
+        {"name": "red", "cpus": 64.0, "cpus_max": 64.0},
+        {"name": "guest", "cpus": 0.0, "cpus_max": 0.0},
+    ]
+    world = World(404, 3, teams=teams)
+    world.capacity = 6
+    world.run(4.0)
+    filling = world.submit(spec(1, team="guest", priority="low", tasks=200, estimate_s=400.0))
+    world.run(40.0)
+    world.submit(spec(2, tasks=60, estimate_s=60.0))
+    world.run(20.0)
+    live = [task.job for m in world.workers.values() for task in m.live.values()]
+    assert 1 <= live.count(filling) <= len(live) // 4
+    assert not world.broken
