--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -24,6 +24,8 @@
 LEAST_AGE_S = 58.0
 #: work lost by emptying a machine, against the room that would stand free meanwhile
 HOLLOW = 0.5
+#: report intervals that pass until a task that was stopped and has saved goes on elsewhere
+SAVED_REPORTS = 3.0
 #: run times ahead of its due time from which on work is worth ordinary machines, though it may run
 #: on spot ones
 DEAR_LEAD = 1.5
@@ -457,7 +459,9 @@
             if s is None or s.spec.kind == GANG or s.cancelled or p.run_since is None:
                 break
             ran = now - p.run_since
-            lost += p.need[0] * ran
+            saves = s.spec.checkpoint_s > 0
+            again_s = s.spec.save_s + SAVED_REPORTS * part.cluster.workers.report_s
+            lost += p.need[0] * (min(ran, again_s) if saves else ran)
             # What has run long already is as likely as not to run as long again.
             left = max(left, s.spec.estimate_s - ran, 0.5 * ran)
         else:
--- a/tests/test_guest_teams.py
+++ b/tests/test_guest_teams.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.renting import hollow
 from marblestair.core.shares import order_key, refusal
 from marblestair.core.split import first
 from marblestair.settings import UNLIMITED, Team
@@ -115,3 +117,24 @@
     live = [task.job for m in world.workers.values() for task in m.live.values()]
     assert 1 <= live.count(filling) <= len(live) // 4
     assert not world.broken
+
+
+@pytest.mark.parametrize(("checkpoint_s", "emptied"), [(0.0, False), (30.0, True)])
+def test_a_machine_is_emptied_for_its_free_room_if_its_tasks_can_save(
+    checkpoint_s: float, emptied: bool
+) -> None:
+    """Found on simulated days with long tasks of guests: they kept whole machines for minutes."""
+    part = Part(0, 5, World(405, 1).settings[0].cluster, 0.0)
+    for name in ("almost-empty", "half-empty"):
+        machine = Machine(name, "t8", "a", False, 0.0)
+        part.add_machine(machine)
+        machine.set_type(TYPES[1])
+        machine.session, machine.settled, machine.seen = 1, True, 200.0
+    job = spec(1, cpus=4.0, estimate_s=300.0, checkpoint_s=checkpoint_s, save_s=3.0)
+    part.slices[job.id] = Slice(job)
+    for index, name in enumerate(["almost-empty", "half-empty"]):
+        part.launch(part.machines[name], part.slices[job.id], index, index + 1, 60.0)
+        task = part.machines[name].placed[(job.id, index)]
+        task.state, task.run_since = "running", 60.0
+    found = hollow(part, {"almost-empty"}, 200.0)
+    assert [machine.name for machine in found] == (["almost-empty"] if emptied else [])
