Machines that are overdue are not counted on; boot times are learned per type

Cause: a machine that never comes counted as capacity for three boot times and a lease, so nothing was rented in its place while work waited. It counts no more after 1.6 boot times as expected by now, is used if it comes, and is given up later where boots take longer. tests/test_boots.py fails without it (a replacement after 26 s of waiting instead of under 11 s, at a usual boot of 5 s).

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -15,6 +15,7 @@
 from marblestair.core import keys
 from marblestair.core.answers import Answers
 from marblestair.core.authority import ISOLATED, Authority
+from marblestair.core.boots import BootTimes
 from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
 from marblestair.core.cancels import Cancels
@@ -139,6 +140,7 @@
         #: room lowered ahead of a commit that gives it to another part
         self.lowered: dict[tuple[int, str], list[int]] = {}
         self.faults = Faults(settings.cluster.workers)
+        self.boots = BootTimes()
         self.authority = Authority(self)
         self.answers = Answers(self)
         self.cancels = Cancels(self)
@@ -304,7 +306,7 @@
                     # began again must not look like one.
                     part.term = rec.term
                 else:
-                    part = Part(i, rec.term, self.settings.cluster, self.now, self.faults)
+                    part = self._new_part(i, rec.term)
                     part.taken = rec.taken
                     self.parts[i] = part
                     rev = self.view.version(keys.SPLIT)
@@ -314,6 +316,9 @@
                 self.log("info", f"part {i} is now with {rec.owner}, term {rec.term}")
         self.jobs.parts_changed()
 
+    def _new_part(self, number: int, term: int) -> Part:
+        return Part(number, term, self.settings.cluster, self.now, self.faults, self.boots)
+
     def _populate(self, part: Part, rev: int) -> Flow:
         # Everything committed before the takeover must be in the view first: jobs, cancels,
         # machines.
@@ -530,7 +535,7 @@
             gone = m.releasing or m.condemned or m.returning
             if m.name in away and not gone:
                 continue
-            if gone or m.silent or m.deaf or m.notice_at is not None:
+            if gone or m.silent or m.deaf or m.notice_at is not None or self._is_overdue(m):
                 leaving.append(m.name)
             elif m.draining:
                 # On its way to a gang's part: neither idle nor lost to the plan, which would rent
@@ -562,6 +567,13 @@
             failing=[x for x in self.faults.failing() if x[0] in p.slices],
         )
 
+    def _is_overdue(self, m: Machine) -> bool:
+        """Whether a machine that was rented should have reported by now."""
+        rec = self.view.machines.get(m.name)
+        if m.session or m.type is None or rec is None:
+            return False
+        return self.boots.is_overdue(m.type, self.wall - rec.since, self.now)
+
     def _wanted(self, s: Slice) -> int:
         """Tasks of a slice that room is wanted for: of a job that probably fails on every machine
         one at a time, and none of a gang, which tries where there is room."""
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -12,6 +12,7 @@
 
 from collections import OrderedDict
 
+from marblestair.core.boots import BootTimes
 from marblestair.core.faults import Faults
 from marblestair.core.model import (
     GANG,
@@ -248,8 +249,10 @@
         cluster: Cluster,
         now: float,
         faults: Faults | None = None,
+        boots: BootTimes | None = None,
     ) -> None:
         self.faults = faults if faults is not None else Faults(cluster.workers)
+        self.boots = boots if boots is not None else BootTimes()
         self.number = number
         self.term = term
         self.cluster = cluster
@@ -530,6 +533,8 @@
         m.addr = rep.addr
         often = now - m.seen < HEARD_REPORTS * self.cluster.workers.report_s
         if rep.session != m.session:
+            if not m.session and m.type is not None and m.name not in self.suspects:
+                self.boots.note(m.type, now - m.added, now)
             if m.session:
                 # Its lease ran out. If it reported all the while, what it was answered did not
                 # reach it.
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -35,8 +35,8 @@
 #: how many machines that fall silent at once, at least and as a share of a part, are waited for,
 #: and for how many leases
 TOGETHER, TOGETHER_SHARE, ABSENT_LEASES = 3, 0.06, 3.0
-#: boots longer than this many times the usual are given up
-BOOT_PATIENCE = 3.0
+#: leases of a worker after which a machine of an unknown type that never reported is given up
+UNKNOWN_BOOT_LEASES = 9.0
 
 
 class Tuning(msgspec.Struct, frozen=True):
@@ -495,8 +495,10 @@
     for m in part.machines.values():
         if m.releasing:
             continue
-        boot = m.type.boot_s if m.type is not None else lease_s * 3
-        late = not m.session and now - m.added > BOOT_PATIENCE * boot + lease_s
+        patience_s = UNKNOWN_BOOT_LEASES * lease_s
+        if m.type is not None:
+            patience_s = part.boots.give_up_s(m.type, now)
+        late = not m.session and now - m.added > patience_s + lease_s
         lost = m.silent and m.session and now - max(m.seen, part.since) > 1.5 * lease_s
         lost = (lost and m.name not in waited_for) or m.failed
         faulty = not m.placed and part.faults.is_faulty(m.name)
--- /dev/null
+++ b/tests/test_boots.py
@@ -0,0 +1,86 @@
+"""Tests of machines that come late or never while work waits for them."""
+
+from __future__ import annotations
+
+import pytest
+
+from marblestair.core.boots import MOST_RATIO, BootTimes
+from tests.fakes.world import TYPES, Worker, World, spec
+
+KIND = TYPES[0]
+
+
+def test_a_machine_is_overdue_after_the_usual_time_and_a_half() -> None:
+    boots = BootTimes()
+    assert not boots.is_overdue(KIND, 1.5 * KIND.boot_s, 0.0)
+    assert boots.is_overdue(KIND, 1.7 * KIND.boot_s, 0.0)
+    assert boots.give_up_s(KIND, 0.0) == 3.0 * KIND.boot_s
+
+
+def test_boots_that_take_longer_are_expected_to_for_a_while() -> None:
+    boots = BootTimes()
+    for at in range(8):
+        boots.note(KIND, 3.0 * KIND.boot_s, float(at))
+    assert not boots.is_overdue(KIND, 4.0 * KIND.boot_s, 10.0)
+    assert boots.give_up_s(KIND, 10.0) == pytest.approx(6.0 * KIND.boot_s)
+    # Other types are not concerned, and it is forgotten.
+    assert boots.is_overdue(TYPES[1], 4.0 * TYPES[1].boot_s, 10.0)
+    assert boots.is_overdue(KIND, 4.0 * KIND.boot_s, 100.0)
+
+
+def test_what_is_learned_is_bounded() -> None:
+    boots = BootTimes()
+    boots.note(KIND, 1000.0 * KIND.boot_s, 0.0)
+    assert boots.expected_ratio(KIND, 1.0) == MOST_RATIO
+    boots = BootTimes()
+    boots.note(KIND, 0.0, 0.0)
+    assert boots.expected_ratio(KIND, 1.0) == 1.0
+
+
+class Boots:
+    """Delays the boots of the first machines of a world; a delay of None is for ever."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, delay_boots: float | None) -> None:
+        self.first: list[Worker] = []
+        self.open = True
+        plain = Worker.boot
+
+        def boot(machine: Worker) -> None:
+            if not self.open:
+                plain(machine)
+                return
+            self.first.append(machine)
+            if delay_boots is not None:
+                late_s = delay_boots * machine.type.boot_s - (machine.world.now - machine.rented)
+                machine.world.at(late_s, lambda: plain(machine))
+
+        monkeypatch.setattr(Worker, "boot", boot)
+
+
+def test_work_does_not_wait_for_machines_that_never_come(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World(460, 3)
+    world.run(4.0)
+    boots = Boots(monkeypatch, None)
+    job = world.submit(spec(1, tasks=8, estimate_s=4.0))
+    assert world.until(lambda: bool(boots.first), 20.0)
+    world.run(3.0)
+    boots.open = False
+    machine = boots.first[0]
+    rented = set(world.workers)
+    assert world.until(lambda: bool(world.workers.keys() - rented), 60.0)
+    assert world.now - machine.rented < 2.2 * machine.type.boot_s
+    assert world.finish(job, 40.0)
+    # What never came is given back in the end.
+    assert world.until(lambda: all(m.deleted for m in boots.first), 60.0)
+    assert not world.broken
+
+
+def test_a_machine_that_comes_late_is_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World(461, 3)
+    world.capacity = 1
+    world.run(4.0)
+    boots = Boots(monkeypatch, 2.6)
+    job = world.submit(spec(1, tasks=4, estimate_s=3.0))
+    assert world.finish(job, 60.0)
+    assert {name for _, _, _, name, _ in world.starts} == {boots.first[0].name}
+    assert not world.broken
