--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -524,10 +524,7 @@
             if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
         ]
         with_gangs = {
-            m.name
-            for s in p.slices.values()
-            if s.spec.kind == GANG
-            for m in s.placed.values()
+            m.name for s in p.slices.values() if s.spec.kind == GANG for m in s.placed.values()
         }
         away = absent(p, self.settings.cluster.workers.lease_s, self.now)
         busy, idle, gangs, leaving = [], [], [], []
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -279,9 +279,7 @@
                 here = [
                     m
                     for m in machines
-                    if part.machines.get(m.name) is m
-                    and not m.placed
-                    and m.name in c.view.machines
+                    if part.machines.get(m.name) is m and not m.placed and m.name in c.view.machines
                 ]
                 if split is None or not here:
                     return
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -76,9 +76,7 @@
         elif got.status == 200:
             part.trash[key] = got.version
     used = {
-        keys.progress(part.number, job, page)
-        for job, s in part.slices.items()
-        for page in s.pages
+        keys.progress(part.number, job, page) for job, s in part.slices.items() for page in s.pages
     }
     for key in used & part.trash.keys():
         # The slice has come back, and its page is in use again.
@@ -87,9 +85,7 @@
     drop = dict(list(drop.items())[:ops])
     if not drop:
         return 0
-    r: StateResult = yield Commit(
-        [c.fence(part.number), *drop.items()], [], list(drop), PROGRESS
-    )
+    r: StateResult = yield Commit([c.fence(part.number), *drop.items()], [], list(drop), PROGRESS)
     for key in drop:
         if r.status == 200:
             part.trash.pop(key, None)
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -396,9 +396,7 @@
         options = [k for k in kinds_of(widest.spec) if not refused(k)]
         options.sort(key=lambda k: (_per_cpu(k, widest.spec, tuning, scarce), k.zone))
         for k in options[:1]:
-            asked = sum(
-                n * types[key[0]].cpus for (key, _), n in short.items() if key[1] == zone
-            )
+            asked = sum(n * types[key[0]].cpus for (key, _), n in short.items() if key[1] == zone)
             n = round((_array_target(work, boot, tuning) - here - asked) / k.type.cpus)
             if n > 0:
                 short[(k.key, -1)] = short.get((k.key, -1), 0) + n
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -915,8 +915,12 @@
                     limits[s.team] -= s.cpus
         for job in self.accepted:
             s = self.specs[job]
-            on = {t.index for m in self.holders.get(job, {}).values() for t in m.live.values()
-                  if t.job == job and not m.deleted}
+            on = {
+                t.index
+                for m in self.holders.get(job, {}).values()
+                for t in m.live.values()
+                if t.job == job and not m.deleted
+            }
             done = {i for j, i in self.results if j == job}
             waits = s.tasks - len(on | done)
             over = self.told.get(job) in ("done", "cancelled")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -628,9 +628,7 @@
     assert w.until(lambda: len(w.starts) >= 12, 40.0)
     w.run(3.0)
     asked = w.now
-    gang = w.submit(
-        spec(2, kind="gang", team="blue", tasks=1, cpus=4.0, cls="g", priority="high")
-    )
+    gang = w.submit(spec(2, kind="gang", team="blue", tasks=1, cpus=4.0, cls="g", priority="high"))
     assert w.until(lambda: any(j == gang for _, j, *_ in w.starts), 12.0)
     assert w.now - asked < 12.0
     assert w.finish(gang, 60.0) and w.finish(low, 500.0)
