--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -19,6 +19,7 @@
 from marblestair.core.byrecord import ByRecord
 from marblestair.core.calls import Sleep
 from marblestair.core.cancels import Cancels
+from marblestair.core.demand import measure_demand, wanted_tasks
 from marblestair.core.dispatch import Dispatch
 from marblestair.core.faults import Faults
 from marblestair.core.fleet import Fleet
@@ -26,7 +27,7 @@
 from marblestair.core.jobs import Jobs
 from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Machine, Part
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
 from marblestair.core.renting import absent
@@ -488,38 +489,19 @@
 
     def measure(self, p: Part) -> Gossip:
         """What the others should know about a part."""
-        backlog = 0
         rooms = [
             (m.type_name, m.zone, m.spot, m.free[0], m.free[1], m.free[2])
             for m in p.machines.values()
             if m.free[0] > 0 and m.usable(self.now) and not self.preemption.claimed(m)
         ]
         held = self.preemption.told(p)
-        wants: dict[str, list[int]] = {}
-        stuck: dict[str, list[int]] = {}
-        for s in p.slices.values():
-            n = self._wanted(s)
-            if not n or s.cancelled:
-                continue
-            backlog += n * s.need[0]
-            w = wants.setdefault(s.spec.team, [0, 0])
-            w[0] += n * s.need[0]
-            w[1] += n * s.need[1]
-            unit = n if s.spec.kind == GANG else 1
-            share = self.share(p, s.spec.team)
-            if unit * s.need[0] > share[0] or unit * s.need[1] > share[1]:
-                stuck.setdefault(s.spec.team, [unit * s.need[0], unit * s.need[1]])
-        for team, w in wants.items():
-            used, share = p.usage(team), self.share(p, team)
-            for i in range(2):
-                w[i] = max(0, w[i] - max(0, share[i] - used[i]))
-        wants = {t: w for t, w in wants.items() if w[0] or w[1]}
+        demand = measure_demand(self, p)
         shares = {}
         for team in self.teams:
             used, share = p.usage(team), self.share(p, team)
             shares[team] = [max(0, share[i] - used[i]) for i in range(2)]
         waiting = [
-            (job, self._wanted(s) + sum(b - a for a, b in s.leaving), len(s.placed))
+            (job, wanted_tasks(self, s) + sum(b - a for a, b in s.leaving), len(s.placed))
             for job, s in p.slices.items()
             if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
         ]
@@ -550,9 +532,9 @@
             term=p.term,
             rooms=rooms,
             held=held,
-            backlog=backlog,
+            backlog=demand.backlog,
             shares=shares,
-            wants=wants,
+            wants=demand.wants,
             waiting=waiting,
             busy=busy,
             idle=idle,
@@ -560,7 +542,7 @@
             gangs=gangs,
             leaving=leaving,
             absent=sorted(away),
-            stuck=stuck,
+            stuck=demand.stuck,
             failing=[x for x in self.faults.failing() if x[0] in p.slices],
         )
 
@@ -571,14 +553,6 @@
             return False
         return self.boots.is_overdue(m.type, self.wall - rec.since, self.now)
 
-    def _wanted(self, s: Slice) -> int:
-        """Tasks of a slice that room is wanted for: of a job that probably fails on every machine
-        one at a time, and none of a gang, which tries where there is room."""
-        n = len(s.pending)
-        if n and self.faults.is_suspected(s.spec.id):
-            return int(s.spec.kind != GANG and not s.placed)
-        return n
-
     def status(self) -> dict[str, Any]:
         """What this node sees and does, for operators."""
         split = self.view.split
--- /dev/null
+++ b/marblestair/core/demand.py
@@ -0,0 +1,75 @@
+"""What the waiting work of a part lacks under its teams' limits.
+
+Each part holds a share of every team's limit. What a part lacks is told to the other owners, which
+give it room.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marblestair.core.model import GANG
+from marblestair.core.part import Part, Slice
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: cpus and gpus of a team, in fixed point
+Amounts = list[int]
+
+
+class Demand(msgspec.Struct):
+    """What waits in one part."""
+
+    #: cpus of all waiting tasks
+    backlog: int
+    #: team -> what its waiting tasks lack in this part's share
+    wants: dict[str, Amounts]
+    #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
+    #: it is too small for
+    stuck: dict[str, Amounts]
+
+
+def wanted_tasks(c: Controller, s: Slice) -> int:
+    """Tasks of a slice that room is wanted for: of a job that probably fails on every machine
+    one at a time, and none of a gang, which tries where there is room."""
+    n = len(s.pending)
+    if n and c.faults.is_suspected(s.spec.id):
+        return int(s.spec.kind != GANG and not s.placed)
+    return n
+
+
+def measure_demand(c: Controller, part: Part) -> Demand:
+    """Go through a part's waiting slices."""
+    demand = Demand(0, {}, {})
+    for s in part.slices.values():
+        n = wanted_tasks(c, s)
+        if not n or s.cancelled:
+            continue
+        demand.backlog += n * s.need[0]
+        _add(demand.wants, s, n)
+        unit = n if s.spec.kind == GANG else 1
+        share = c.share(part, s.spec.team)
+        if unit * s.need[0] > share[0] or unit * s.need[1] > share[1]:
+            demand.stuck.setdefault(s.spec.team, [unit * s.need[0], unit * s.need[1]])
+    demand.wants = _lacking(c, part, demand.wants)
+    return demand
+
+
+def _add(totals: dict[str, Amounts], s: Slice, tasks: int) -> None:
+    total = totals.setdefault(s.spec.team, [0, 0])
+    total[0] += tasks * s.need[0]
+    total[1] += tasks * s.need[1]
+
+
+def _lacking(c: Controller, part: Part, totals: dict[str, Amounts]) -> dict[str, Amounts]:
+    """What of the teams' totals is more than their shares leave free here."""
+    out = {}
+    for team, total in totals.items():
+        used, share = part.usage(team), c.share(part, team)
+        lack = [max(0, total[i] - max(0, share[i] - used[i])) for i in range(2)]
+        if any(lack):
+            out[team] = lack
+    return out
