--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -37,6 +37,7 @@
         self.lookups = Lookups(c.runner, self, state.rps / len(c.settings.nodes))
 
     def final(self, job: str, state: str) -> None:
+        """Remember a job's final state."""
         self.finals[job] = state
         while len(self.finals) > REMEMBERED:
             self.finals.popitem(last=False)
@@ -46,7 +47,8 @@
 
         Every answer to a user, whatever the request, passes here last. Between the commit of a
         cancel and its confirmation neither "cancelled" nor what was before is told: another node
-        may have told the one already, and the other is not so yet."""
+        may have told the one already, and the other is not so yet.
+        """
         if job in self.finals:
             return (self.finals[job], None, None)
         if self.c.cancels.known(job):
@@ -105,8 +107,11 @@
         return self.may_tell(job, ("running", done, 0) if done else ("queued", 0, 0))
 
     def read(self, job: str, lane: int = ACCEPT) -> Step:
-        """Read a job's record, or final state, afresh: its state as kept, UNKNOWN, or None when
-        it could not be read. It is taken in, not told."""
+        """Read a job's record or final state afresh.
+
+        Returns the state as kept, UNKNOWN, or None when it could not be read. What is read
+        is taken into the view; whether it may be told is for the caller to ask.
+        """
         c = self.c
         if c.cut_off():
             return None
--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -249,7 +249,8 @@
 
         With the promise go the cancels that a view of the asker's revision may lack; it counts
         the promise only after it has applied them. So an owner that acts on promises has applied
-        each cancel that any other node can have confirmed. None: no promise."""
+        each cancel that any other node can have confirmed. None: no promise.
+        """
         c = self.c
         s = c.view.split
         now = c.now
@@ -358,8 +359,11 @@
         guards: list[tuple[str, int]],
         version: int,
     ) -> Step:
-        """Commit a new split record; ``fenced`` parts get a new owner. True, False or None
-        (it may yet be applied)."""
+        """Commit a new split record.
+
+        Parts in ``fenced`` get a new owner. Returns True, False, or None if the commit may
+        yet be applied.
+        """
         c = self.c
         puts = [Put(keys.SPLIT, new)]
         puts += [Put(f"{keys.FENCES}{i}", new.parts[i].term) for i in fenced]
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -105,8 +105,11 @@
     # --- what may be told ------------------------------------------------------------------
 
     def missing(self, job: str) -> list[int] | None:
-        """Parts whose owners may act without the entry; None when that cannot be told, because
-        owners may have changed before the entry was committed and are not in the view yet."""
+        """List the parts whose owners may act without the entry.
+
+        None when that cannot be told, because owners may have changed before the entry was
+        committed and are not in the view yet.
+        """
         c = self.c
         e, rec, s = self._entries.get(job), c.view.jobs.get(job), c.view.split
         if e is None or rec is None or s is None or c.view.rev < e.rev:
@@ -145,8 +148,11 @@
         return [[p.number, p.term] for p in self.c.acting()]
 
     def ask(self, job: str, heard_s: float = 1e9) -> Step:
-        """Have every owner that may lack the entry, and was heard within a time, apply it, the
-        latest heard first; whether the cancel is confirmed."""
+        """Ask every owner that may lack the entry to apply it, the latest heard first.
+
+        Owners that were not heard within ``heard_s`` are left out. Returns whether the
+        cancel is confirmed.
+        """
         c = self.c
         s, e = c.view.split, self._entries.get(job)
         nodes: dict[str, None] = {}
@@ -202,7 +208,8 @@
         """Commit the entry by way of the record, where the manager is not heard.
 
         A refused or silent connection shows nothing about the controller behind it, so nothing
-        is taken from it; every owner that can read finds the entry by its watch."""
+        is taken from it; every owner that can read finds the entry by its watch.
+        """
         c = self.c
         state = yield from c.answers.read(job)
         rec = c.view.jobs.get(job)
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -227,16 +227,22 @@
         return not self.isolated(self.now)
 
     def cut_off(self) -> bool:
-        """Whether neither the state service nor another controller has been heard for a lease's
-        time: this node can then tell nobody anything, and says so at once."""
+        """Whether nobody was heard for the time of a lease.
+
+        Neither the state service nor another controller: this node can then tell users
+        nothing, and refuses them at once.
+        """
         limit = self.authority.ttl
         if self.now - max(self.view.fresh_at, self.authority.renewed, self.started) < limit:
             return False
         return all(self.now - self.heard.get(p.node, -1e9) > limit for p in self.settings.others)
 
     def isolated(self, now: float) -> bool:
-        """Whether the machines of this node's parts have fallen silent while the state service
-        still answers: the sign of a node that is cut off from everything else."""
+        """Whether this node is cut off from its workers.
+
+        The sign is that the machines of its parts are silent while the state service still
+        answers.
+        """
         limit = max(
             ISOLATED * self.settings.cluster.workers.lease_s,
             2.5 * self.settings.cluster.workers.report_s,
@@ -255,8 +261,11 @@
         return bool(peers) and (deaf or len(heard) > 1)
 
     def _should_report(self, part: Part, m: Machine) -> bool:
-        """Whether a machine is up as far as is known: it has reported under this part's term, or
-        it was there at the takeover and has had time to boot."""
+        """Whether a machine is up as far as is known.
+
+        It has reported under this part's term, or it was there at the takeover and has had
+        time to boot.
+        """
         if m.settled:
             return True
         rec = self.view.machines.get(m.name)
--- a/marblestair/core/demand.py
+++ b/marblestair/core/demand.py
@@ -33,8 +33,11 @@
 
 
 def wanted_tasks(c: Controller, s: Slice) -> int:
-    """Tasks of a slice that room is wanted for: of a job that probably fails on every machine
-    one at a time, and none of a gang, which tries where there is room."""
+    """Count the tasks of a slice that room is wanted for.
+
+    A job that probably fails on every machine wants room for one task at a time; such a gang
+    wants none and tries where there is room.
+    """
     n = len(s.pending)
     if n and c.faults.is_suspected(s.spec.id):
         return int(s.spec.kind != GANG and not s.placed)
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -64,8 +64,10 @@
         self._ordered: dict[int, tuple[float, list[Slice]]] = {}
 
     def ordered(self, part: Part) -> list[Slice]:
-        """The part's slices with pending tasks, in the order in which they are served; put in
-        order once for all that ask at the same moment."""
+        """Return the part's slices with pending tasks, in the order in which they are served.
+
+        They are put in order once for all that ask at the same moment.
+        """
         at, order = self._ordered.get(part.number, (-1e9, []))
         if at == self.c.now:
             return [s for s in order if self._waits(part, s)]
@@ -289,9 +291,11 @@
         free: list[Machine],
         queue: Queue,
     ) -> None:
-        """Work that has waited for long is not put off any further: of each team, what has not
-        begun gets a first helping, and what is older still a share of the team's room, ahead of
-        everything else."""
+        """Start work that has waited for long ahead of everything else.
+
+        Of each team, what has not begun gets a few first tasks, and what is older still
+        gets a share of the team's room.
+        """
         c = self.c
         held: dict[str, int] = {}
         left = queue.left
--- a/marblestair/core/faults.py
+++ b/marblestair/core/faults.py
@@ -126,8 +126,11 @@
     # --- judgement -------------------------------------------------------------------------
 
     def failing(self) -> list[tuple[str, int]]:
-        """Jobs of which nothing succeeded, and on how many machines nothing else fails: for the
-        other controllers, whose machines may show no more of a job than these."""
+        """List jobs of which nothing succeeded, with the machines on which nothing else fails.
+
+        The number of machines is told to the other controllers, whose own machines may show
+        no more of a job than these.
+        """
         out = []
         for job, evidence in self._jobs.items():
             if evidence.succeeded:
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -176,8 +176,10 @@
         return 503, 0, [], None
 
     def _take_in(self, rep: Report, part: Part) -> Flow:
-        """Take in a machine that reports and belongs to nobody, if it is there: the report may be
-        a late copy from one that was returned or taken."""
+        """Take in a machine that reports and belongs to nobody, if it is there.
+
+        The report may be a late copy from a machine that was returned or taken.
+        """
         got: Report | None = yield Inspect(rep.addr)
         if got is None or got.machine != rep.machine:
             yield Sleep(1.0)
@@ -310,8 +312,11 @@
             pause = 0.1 if much and not full else 1.0
 
     def _portion(self, part: Part, want: Want) -> int:
-        """How many of the machines of a rental this part rents: its even share, the parts with
-        fewest machines first, or all where a gang waits here."""
+        """Count the machines of a rental that this part rents.
+
+        That is its even share, the parts with fewest machines first, or all where a gang
+        waits here.
+        """
         c = self.c
         if want.part >= 0:
             return want.count if want.part == part.number else 0
@@ -547,8 +552,11 @@
         return self.c.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
 
     def refusals(self) -> list[tuple[str, str, bool, float]]:
-        """Kinds that the cloud has none of, and for how long they are not asked for; told to the
-        others, so that each does not have to learn it by a request of its own."""
+        """List kinds that the cloud has none of, and for how long they are not asked for.
+
+        They are told to the others, so that each does not have to learn it by a request of
+        its own.
+        """
         now = self.c.now
         return [(*k, round(t - now, 2)) for k, t in sorted(self.refused.items()) if t > now]
 
@@ -635,11 +643,12 @@
         return count
 
     def _finish_hires(self, part: Part) -> Flow:
-        """Carry out the rentals that an earlier owner recorded just before its end: the same name
-        gives the same machines, so none is left unused and paid for.
+        """Carry out the rentals that an earlier owner recorded just before its end.
 
-        Older intents were refused, or their machines are recorded, listed or reporting by now;
-        sending them again would rent machines that nobody needs any more."""
+        The same name gives the same machines, so none is left unused and paid for. Older
+        intents were refused, or their machines are recorded, listed or reporting by now;
+        sending them again would rent machines that nobody needs any more.
+        """
         c = self.c
         prefix = f"{keys.HIRES}{part.number}/"
         after = ""
@@ -712,8 +721,11 @@
     # --- cancels ---------------------------------------------------------------------------
 
     def guard_cancels(self, part: Part) -> None:
-        """A machine that still holds a cancelled task long after the cancel gets no more 200
-        answers and is released, so that its lease and the cloud both end the task."""
+        """Stop answering machines that hold a cancelled task for too long.
+
+        Without 200 answers the worker's lease ends, and the machine is released, so that
+        both the lease and the cloud end the task.
+        """
         now = self.c.now
         half = self.c.settings.cluster.workers.cancel_s / 2
         for s in part.slices.values():
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -124,11 +124,12 @@
             self.stage.leave()
 
     def _manager_part(self) -> int | None:
-        """The part whose owner is to run a new job's ServerManager: one that this node acts for,
-        or, where it has none, one whose owner was heard just now.
+        """Choose the part whose owner is to run a new job's ServerManager.
 
-        A job is accepted by the commit of its record, which needs no authority over the part; its
-        owner finds the record by its watch."""
+        It is one that this node acts for or, where it has none, one whose owner was heard
+        just now. A job is accepted by the commit of its record, which needs no authority
+        over the part; its owner finds the record by its watch.
+        """
         c = self.c
         numbers = [part.number for part in c.acting()]
         if not numbers and c.authority.holds(c.now) and c.view.split is not None:
@@ -533,8 +534,10 @@
                         return
 
     def kept(self, p: Part, team: str) -> int:
-        """What the largest of a team's gangs that wait in a part needs of its share: given away,
-        it would only go to and fro."""
+        """Return what the largest of a team's waiting gangs here needs of the share.
+
+        Given to another part, it would only have to be given back.
+        """
         return max(
             (
                 len(s.pending) * s.need[0]
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -181,8 +181,11 @@
         whole: bool,
         known: dict[tuple[Any, ...], int],
     ) -> None:
-        """Where machines have room but the team's share does not, send share there first: the
-        tasks follow. Room here that no machine can use would else be lost to the team."""
+        """Send share to a part whose machines have room for the team's tasks.
+
+        The tasks follow by migration. Room under the limit that no machine here can use
+        would else be lost to the team.
+        """
         c = self.c
         team, need = s.spec.team, s.need
         if c.lowered:
@@ -248,8 +251,10 @@
                     return
 
     def _idle_for(self, empty: list[Machine], spec: JobSpec, g: Gossip) -> list[Machine]:
-        """Idle machines here that help a job in another part, if that is what it lacks: those that
-        the plan sets aside for it, else one that is set aside for nobody."""
+        """Choose idle machines here that help a job in another part, if that is what it lacks.
+
+        Those that the plan sets aside for it, else one that is set aside for nobody.
+        """
         c, need = self.c, spec.need
         idle = [m for m in empty if allowed(spec, m) and room(m, need)]
         aside = [m for m in idle if c.fleet.reserved.get(m.name) == spec.id]
@@ -269,8 +274,11 @@
         return [min(idle, key=lambda m: (m.type.price if m.type else 0.0, m.name))]
 
     def _move(self, part: Part, machines: list[Machine], target: int) -> Flow:
-        """Only idle and settled machines move. The source drops them first, and the target's term
-        rises in the same commit, so tokens at a machine only grow."""
+        """Move idle and settled machines to another part.
+
+        The source drops them first, and the target's term rises in the same commit, so that
+        the tokens a machine sees only grow.
+        """
         c = self.c
         doubt, tries = -1, 0
         try:
@@ -362,8 +370,11 @@
             self.under_way -= 1
 
     def _hand_on(self, job: str, target: int, version: int) -> Step:
-        """Tell the target. It names the last change entry that it knows of the job, and gets
-        only later ones (Algorithm 4)."""
+        """Tell the target of a migration.
+
+        It names the last change entry that it knows of the job, and gets only later ones
+        (Algorithm 4).
+        """
         c = self.c
         owner = c.owner(target)
         if owner is None or owner == c.node:
@@ -379,7 +390,8 @@
 
         They may be pending here again only once the manager has given the holder's locks up, so
         that an update that is still on its way will be refused, and only after the record has
-        been read afresh."""
+        been read afresh.
+        """
         c = self.c
         job = s.spec.id
         released = False
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -286,8 +286,11 @@
         return (self.term << ATTEMPT_BITS) + self._attempts
 
     def usage(self, team: str) -> tuple[int, int]:
-        """Upper bound of what a team's tasks use: machines that are not settled, or hold tasks
-        of nobody's until those are stopped, count in full."""
+        """Return an upper bound of what a team's tasks use.
+
+        Machines that are not settled, or that hold tasks of unknown jobs until those are
+        stopped, count in full.
+        """
         c, g = self.used.get(team, (0, 0))
         for name in (self.suspects | self.strayed) if self.strayed else self.suspects:
             m = self.machines.get(name)
@@ -519,8 +522,10 @@
             self.settle_suspects()
 
     def report(self, rep: Report, now: float) -> list[Order] | None:
-        """Take in a report and return the orders of its answer; None when it must not be
-        answered with a 200."""
+        """Take in a report and return the orders of its answer.
+
+        None when the report must not be answered with a 200.
+        """
         m = self.machines.get(rep.machine)
         if m is None or m.condemned or m.releasing:
             return None
@@ -584,8 +589,10 @@
         return self._orders(m, now)
 
     def _over(self, rep: Report) -> list[Order]:
-        """Stops for what a machine that is not settled lists of jobs that are over: an answer
-        that renews its lease must not let those go on."""
+        """Return stops for tasks of jobs that are over on a machine that is not settled.
+
+        An answer that renews its lease must not let them go on.
+        """
         orders = []
         for t in rep.tasks:
             s = self.slices.get(t.job)
@@ -719,8 +726,10 @@
                 p.stop_sent = -1e9
 
     def direct_stops(self, now: float) -> list[tuple[Machine, list[Order]]]:
-        """Stops that should not wait for the machine's next report. They are harmless when late:
-        attempts are never reused."""
+        """Return stops that should not wait for the machine's next report.
+
+        They are harmless when late: attempts are never reused.
+        """
         out = []
         again = self.cluster.workers.report_s * 2
         for m in self.machines.values():
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -45,7 +45,8 @@
     """Smaller is better: the wait for the image, what is left free, and the price.
 
     Full machines are filled first and dear ones last, so that whole machines fall idle and can
-    be given back."""
+    be given back.
+    """
     t = m.type
     if t is None:
         return 1e9, m.name
@@ -67,7 +68,8 @@
 ) -> Machine | None:
     """Best fit among sampled machines; if none of them fits, the first that does.
 
-    ``fitting`` are the candidates that have room; ``hurry`` weighs the wait for the image."""
+    ``fitting`` are the candidates that have room; ``hurry`` weighs the wait for the image.
+    """
     if len(fitting) < 2:
         return fitting[0] if fitting else None
     sample = candidates if len(candidates) <= SAMPLE else rng.sample(candidates, SAMPLE)
@@ -108,7 +110,8 @@
     """Launch as many pending tasks of an array as fit, up to ``most``; how many.
 
     ``free`` are those of the ``usable`` machines that may have room. Machines in ``keep`` are left
-    to gangs; those in ``drain`` are used only when no other has room."""
+    to gangs; those in ``drain`` are used only when no other has room.
+    """
     spec, need = s.spec, s.need
     budget = min(within_share(part, s, share), len(s.pending), most)
     if budget <= 0:
--- a/marblestair/core/preempt.py
+++ b/marblestair/core/preempt.py
@@ -77,8 +77,11 @@
     def of_team(
         self, team: str, level: int, lack: int, besides: list[Placed]
     ) -> list[Placed] | None:
-        """Tasks of a team whose end frees that much of its share here, latest started first,
-        those that are being stopped ahead of all; None when there are not enough."""
+        """Choose tasks of a team whose end frees that much of its share here.
+
+        The latest started come first, and ahead of them those that are being stopped
+        already. None when there are not enough.
+        """
         out: list[Placed] = []
         if lack <= 0:
             return out
@@ -153,9 +156,12 @@
     def clear(
         self, part: Part, s: Slice, share: tuple[int, int], act: bool, survey: Survey
     ) -> bool:
-        """Whether the gang can have its machines here by stopping work of lower priority, least
-        lost work first, and work of its own team where the team's share is what it lacks; with
-        ``act`` the machines are claimed and the work is stopped."""
+        """Whether a gang can have its machines here by stopping work of lower priority.
+
+        The least lost work is stopped first, and work of the gang's own team where the
+        team's share is what it lacks. With ``act`` the machines are claimed and the work is
+        stopped.
+        """
         c = self.c
         now, job, n, spec, need = c.now, s.spec.id, len(s.pending), s.spec, s.need
         if any(claim[0] == job for claim in self.claims.values()):
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -67,8 +67,11 @@
 
 
 def _sweep(c: Controller, part: Part, ops: int) -> Step:
-    """Delete keys of no use, each under a guard on its version: a deletion that is carried out
-    late must not take what has been written under the key since. Returns the changes sent."""
+    """Delete keys that are of no use; returns the number of changes sent.
+
+    Each is guarded on its version: a deletion that is carried out late must not take what has
+    been written under the key since.
+    """
     for key in [k for k, v in part.trash.items() if v is None][:ops]:
         got: StateResult = yield Get(key, PROGRESS)
         if got.status == 404:
@@ -95,9 +98,12 @@
 
 
 def keep_progress(c: Controller, part: Part) -> Flow:
-    """Write what is finished, in batches, about once a second, or as the rate allows: the number
-    of slices grows with the load, the state service's rate does not. What is finished and not
-    written yet is kept by its worker, which is told to forget it only afterwards."""
+    """Write finished tasks in batches, about once a second or as the rate allows.
+
+    The number of slices grows with the load, the state service's rate does not. What is
+    finished and not written yet is kept by its worker, which is told to forget it only
+    afterwards.
+    """
     state = c.settings.cluster.state
     ops = c.batch
     rate = SHARE * state.write_rps / len(c.settings.nodes)
--- a/marblestair/core/ranges.py
+++ b/marblestair/core/ranges.py
@@ -18,13 +18,16 @@
             self.add(a, b)
 
     def __len__(self) -> int:
+        """Return how many numbers the set holds."""
         return self.count
 
     def __iter__(self) -> Iterator[int]:
+        """Iterate over the numbers in ascending order."""
         for a, b in self.items:
             yield from range(a, b)
 
     def __contains__(self, i: int) -> bool:
+        """Whether a number is in the set."""
         return any(a <= i < b for a, b in self.items)
 
     def add(self, a: int, b: int) -> None:
--- a/marblestair/core/renting.py
+++ b/marblestair/core/renting.py
@@ -172,8 +172,10 @@
 
 
 def spares(k: Coming, types: dict[str, MachineType], least: int) -> int:
-    """How many gangs of a hurried class come while a machine is rented for one, and a deviation
-    more."""
+    """Count the gangs of a class to keep machines ready for.
+
+    As many as come while a machine is rented for one, and a standard deviation more.
+    """
     leads = [
         1.2 * t.boot_s + k.spec.image_gb / max(t.fetch_gb_per_s, 1e-6)
         for t in types.values()
@@ -200,8 +202,10 @@
 
 
 def _array_target(loads: list[Load], boot_s: float, tuning: Tuning, lead: float = 1e9) -> float:
-    """Cpus needed so that the work at hand is done well before it is due, though not before
-    ``lead`` run times ahead of that."""
+    """Return the cpus with which the waiting arrays are done well before they are due.
+
+    They need not be done earlier than ``lead`` run times ahead of that.
+    """
     target = 0.0
     for x in loads:
         c = x.spec.cpus
@@ -229,7 +233,8 @@
     """The plan for the whole fleet; the same from the same inputs.
 
     ``smooth`` follows the target over time: a machine that is rented for a short burst is up only
-    when the burst is over."""
+    when the burst is over.
+    """
     out = Plan([], [])
     gangs = [x for x in loads if x.spec.kind == GANG]
     arrays = [x for x in loads if x.spec.kind != GANG]
@@ -271,7 +276,8 @@
     def set_aside(spec: JobSpec, n: int, part: int, aside: Callable[[str], None]) -> None:
         """Set machines aside for n tasks of a gang's kind, and rent what is missing.
 
-        Those that are soonest empty go first, and of these the ones in the gang's own part."""
+        Those that are soonest empty go first, and of these the ones in the gang's own part.
+        """
         options = [k for k in kinds(spec, types) if not refused(k)]
         #: tasks that a machine of a kind holds, counted once per kind
         holds: dict[tuple[str, str, bool], int] = {}
@@ -436,8 +442,11 @@
 
 
 def hollow(part: Part, names: set[str], now: float) -> list[Machine]:
-    """Machines among those that are to fall idle that are so nearly empty that stopping what they
-    still run, to run it again elsewhere, loses less than waiting for its end."""
+    """Choose nearly empty machines that are worth emptying.
+
+    Of the machines that are to fall idle, those where stopping what still runs, to run it again
+    elsewhere, loses less than waiting for its end.
+    """
     out: list[tuple[float, str, Machine]] = []
     room = 0
     for m in part.machines.values():
@@ -475,8 +484,10 @@
 
 
 def absent(part: Part, lease_s: float, now: float) -> set[str]:
-    """Machines that fell silent together with many others: that is a network's way rather than a
-    machine's, and most of them will be back."""
+    """Return machines that fell silent together with many others.
+
+    That is a failure of the network rather than of the machines, and most of them will be back.
+    """
     gone = [m for m in part.machines.values() if m.silent and m.session and not m.failed]
     if len(gone) < max(TOGETHER, TOGETHER_SHARE * len(part.machines)):
         return set()
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -39,8 +39,11 @@
     teams: dict[str, Team],
     is_suspected: Callable[[str], bool],
 ) -> set[str]:
-    """Jobs that fit into their team's guarantee together with the team's earlier unfinished
-    jobs; those that probably fail on every machine take nothing from it."""
+    """Return the jobs that fit into their team's guarantee.
+
+    A job does if it fits together with the team's earlier unfinished jobs. Jobs that probably
+    fail on every machine take nothing from the guarantee.
+    """
     used: dict[str, list[int]] = {}
     out: set[str] = set()
     for rec in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
@@ -65,9 +68,12 @@
     suspected: bool = False,
     is_guest: bool = False,
 ) -> tuple[int, int, int, float, str]:
-    """Smaller is served first: guarantees and high priority, then priority, then slack to the
-    deadline or age. A factor corrects the estimate. Guests come after all others, and what
-    probably fails anyway comes last."""
+    """Return the sort key by which jobs are served, the smallest first.
+
+    Guarantees and high priority come first, then priority, then slack to the deadline or age; a
+    factor corrects the estimate. Guests come after all others, and what probably fails anyway
+    comes last.
+    """
     late = 8 * int(suspected) + 4 * int(is_guest)
     if spec.deadline_s is not None:
         slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
@@ -83,7 +89,8 @@
     """Jobs to put off so that as many as possible are done when due (Moore and Hodgson).
 
     ``work`` holds seconds until due, cpu seconds left, and the job; ``limit`` is what all of them
-    can use at once."""
+    can use at once.
+    """
     out: set[str] = set()
     taken: list[tuple[float, str]] = []
     total = 0.0
--- a/marblestair/net/http_client.py
+++ b/marblestair/net/http_client.py
@@ -67,7 +67,8 @@
     """Requests over connections that are kept.
 
     At most ``max_open`` requests are under way; more wait for their turn, in order. Kept
-    connections are bounded too, per address and in all: the longest unused is closed first."""
+    connections are bounded too, per address and in all: the longest unused is closed first.
+    """
 
     def __init__(self, max_idle: int = 4, max_open: int = 64, max_kept: int = 64) -> None:
         self.max_idle = max_idle
--- a/marblestair/net/http_server.py
+++ b/marblestair/net/http_server.py
@@ -62,17 +62,20 @@
     # asyncio
 
     def connection_made(self, transport: Any) -> None:
+        """Accept a connection, or abort it when there are too many."""
         self.transport = transport
         self.last = self.server.clock()
         if not self.server.admit(self):
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Forget a connection that was closed."""
         self.server.connections.discard(self)
         self.transport = None
         self._queue.clear()
 
     def data_received(self, data: bytes) -> None:
+        """Feed received bytes to the parser."""
         self.last = self.server.clock()
         self._head += len(data)
         try:
@@ -96,17 +99,21 @@
     # httptools
 
     def on_message_begin(self) -> None:
+        """Start a new request."""
         self._url = b""
         self._body = bytearray()
         self._too_big = False
 
     def on_url(self, url: bytes) -> None:
+        """Collect a part of the request path."""
         self._url += url
 
     def on_headers_complete(self) -> None:
+        """Note the end of the request head."""
         self._head = 0
 
     def on_body(self, body: bytes) -> None:
+        """Collect a part of the request body, up to the limit."""
         self._head = 0
         if len(self._body) + len(body) > self.server.max_body:
             self._too_big = True
@@ -118,6 +125,7 @@
         self._body += body
 
     def on_message_complete(self) -> None:
+        """Hand a complete request on, or queue it behind the one being answered."""
         self._head = 0
         if self._too_big:
             return
@@ -169,7 +177,8 @@
     """Listens, bounds the number of connections and drops idle ones.
 
     From ``crowded_at`` connections on, users are to be turned away (:attr:`crowded`), so that the
-    rest is left to workers; at ``max_connections`` the longest idle user makes room."""
+    rest is left to workers; at ``max_connections`` the longest idle user makes room.
+    """
 
     def __init__(
         self,
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -204,7 +204,7 @@
             )
             try:
                 return wire.parse_report(data) if status == 200 else None
-            except wire.BadRequest:
+            except wire.BadRequestError:
                 return None
         raise TypeError(f"unknown call {call!r}")
 
@@ -238,7 +238,7 @@
             conn.worker = True
             try:
                 rep = wire.parse_report(body)
-            except wire.BadRequest as e:
+            except wire.BadRequestError as e:
                 conn.respond(400, wire.pack(wire.error_answer(str(e))))
                 return
             status, token, orders, node = self.core.report(rep)
@@ -259,7 +259,7 @@
         if action == "submit":
             try:
                 spec = wire.parse_submit(body)
-            except wire.BadRequest as e:
+            except wire.BadRequestError as e:
                 conn.respond(400, wire.pack(wire.error_answer(str(e))))
                 return
         elif not wire.valid_job_id(job):
--- a/marblestair/wire.py
+++ b/marblestair/wire.py
@@ -70,7 +70,7 @@
 _JOB_ID = re.compile(r"job-[0-9]{1,20}\Z")
 
 
-class BadRequest(Exception):
+class BadRequestError(Exception):
     """The body is malformed."""
 
 
@@ -117,29 +117,29 @@
 
 
 def parse_submit(body: bytes) -> JobSpec:
-    """Decode and check a submission; raise BadRequest when it is malformed."""
+    """Decode and check a submission; raise BadRequestError when it is malformed."""
     if len(body) > MAX_BODY:
-        raise BadRequest("body too large")
+        raise BadRequestError("body too large")
     try:
         s = _submit.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError) as e:
-        raise BadRequest(str(e)) from None
+        raise BadRequestError(str(e)) from None
     if not valid_job_id(s.ref):
-        raise BadRequest("ref: not of the form job-NUMBER")
+        raise BadRequestError("ref: not of the form job-NUMBER")
     if s.shape not in _KINDS:
-        raise BadRequest("shape: unknown")
+        raise BadRequestError("shape: unknown")
     if s.urgency not in _PRIORITIES:
-        raise BadRequest("urgency: unknown")
+        raise BadRequestError("urgency: unknown")
     if not 1 <= s.pieces <= MAX_TASKS:
-        raise BadRequest(f"pieces: must be from 1 to {MAX_TASKS}")
+        raise BadRequestError(f"pieces: must be from 1 to {MAX_TASKS}")
     amounts = (s.cpus, s.gpus, s.mem_gb, s.size_gb, s.expected_s, s.bookmark_s)
     if not finite(*amounts, s.bookmark_cost_s, s.due_s):
-        raise BadRequest("an amount is negative, infinite or not a number")
+        raise BadRequestError("an amount is negative, infinite or not a number")
     if max(*amounts, s.bookmark_cost_s, s.due_s or 0.0) > 1e12:
-        raise BadRequest("an amount is out of range")
+        raise BadRequestError("an amount is out of range")
     names = [s.jobclass, s.owner, s.bundle, s.room or "", *(s.builds or [])]
     if any(len(n) > _MAX_NAME for n in names) or len(names) > 100:
-        raise BadRequest("a name is too long")
+        raise BadRequestError("a name is too long")
     return JobSpec(
         id=s.ref,
         cls=s.jobclass,
@@ -225,7 +225,7 @@
 
 
 def parse_report(body: bytes) -> Report:
-    """Decode a worker's report; raise BadRequest when it is malformed."""
+    """Decode a worker's report; raise BadRequestError when it is malformed."""
     try:
         r = _report.decode(body)
         tasks = []
@@ -237,7 +237,7 @@
                 TaskReport(job, int(index), p.attempt, state, _WHYS.get(why, why), bool(p.stored))
             )
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError) as e:
-        raise BadRequest(str(e)) from None
+        raise BadRequestError(str(e)) from None
     return Report(
         r.bench,
         r.endpoint,
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -899,7 +899,8 @@
 
     def _watch_waiting(self) -> None:
         """Once troubles are over, no job waits 90 s beside a machine with room for it while its
-        team is under its limit."""
+        team is under its limit.
+        """
         if self.quiet_since is None:
             self._beside.clear()
             return
@@ -953,7 +954,8 @@
 
     def unserved(self) -> list[str]:
         """Classes and teams of which less than half of what was accepted and not cancelled is
-        done, and jobs that did not begin within four minutes."""
+        done, and jobs that did not begin within four minutes.
+        """
         out = []
         began: dict[str, float] = {}
         for t, job, *_ in self.starts:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -71,21 +71,21 @@
     ],
 )
 def test_malformed_submissions(change: dict[str, Any]) -> None:
-    with pytest.raises(wire.BadRequest):
+    with pytest.raises(wire.BadRequestError):
         wire.parse_submit(wire.pack({**GOOD, **change}))
 
 
 @pytest.mark.parametrize("field", sorted(set(GOOD) - {"builds", "room", "due_s"}))
 def test_a_missing_field(field: str) -> None:
-    with pytest.raises(wire.BadRequest):
+    with pytest.raises(wire.BadRequestError):
         wire.parse_submit(wire.pack({k: v for k, v in GOOD.items() if k != field}))
 
 
 @pytest.mark.parametrize("body", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x91" * 5000, b"{}"])
 def test_bodies_that_are_no_map(body: bytes) -> None:
-    with pytest.raises(wire.BadRequest):
+    with pytest.raises(wire.BadRequestError):
         wire.parse_submit(body)
-    with pytest.raises(wire.BadRequest):
+    with pytest.raises(wire.BadRequestError):
         wire.parse_report(body)
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -16,7 +16,8 @@
 
 def bare(**job: Any) -> World:
     """A world without controllers: two machines in zone a, one of them spot, and one in zone b;
-    a job that was accepted."""
+    a job that was accepted.
+    """
     w = World(1, 1)
     w.kill("n0")
     for n, (zone, spot) in enumerate((("a", False), ("a", True), ("b", False))):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -146,7 +146,8 @@
     monkeypatch: pytest.MonkeyPatch, kind: str
 ) -> None:
     """Found on simulated days: each of its failures counted against a machine, and a healthy fleet
-    was given back and rented again."""
+    was given back and rented again.
+    """
     world = warm(430)
     long = world.submit(spec(1, team="blue", tasks=8, estimate_s=200.0))
     world.run(15.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,7 +62,8 @@
 
 def test_an_event_costs_the_same_on_nine_hundred_machines() -> None:
     """Found on simulated fleet days that were not over in time: each report that brought room up
-    went through all machines and all slices of its part."""
+    went through all machines and all slices of its part.
+    """
     seen = {}
     for machines, jobs in ((300, 60), (900, 180), (300, 180)):
         w = fleet(7, machines)
@@ -85,7 +86,8 @@
 
 def test_a_cleared_machine_takes_its_gang_with_the_report_that_shows_it() -> None:
     """Found on simulated days: once reports filled their own machine, one that was being cleared
-    for an urgent gang was passed over, and the gang waited for a tick and one more report."""
+    for an urgent gang was passed over, and the gang waited for a tick and one more report.
+    """
     aims = [{"kind": "wait", "class": "g", "within_s": 6.0, "share": 0.9}]
     teams = [{"name": n, "cpus": 90.0, "cpus_max": 200.0} for n in ("red", "blue")]
     w = fleet(26, 6, 1, objectives=aims, teams=teams)
@@ -261,7 +263,8 @@
 
 def test_what_has_waited_long_shares_its_quarter_of_the_room() -> None:
     """Found on simulated days of a team at its limit: each old slice could take the whole quarter
-    from a machine that reported, and so large old jobs kept the rest from ending in time."""
+    from a machine that reported, and so large old jobs kept the rest from ending in time.
+    """
     w = World(25, 1, teams=[{"name": "red", "cpus": 0.0, "cpus_max": 64.0}])
     w.run(3.0)
     core = w.cores["n0"]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -211,7 +211,8 @@
 
 def test_a_nearly_empty_machine_beyond_the_need_is_emptied_for_its_return() -> None:
     """Found on a simulated steady day: when the need fell, one long task after another kept
-    machines that were otherwise free for over a hundred seconds."""
+    machines that were otherwise free for over a hundred seconds.
+    """
     cluster = World(1).settings[0].cluster
     part = Part(0, 5, cluster, 0.0)
     kind = LARGE[0]
@@ -263,7 +264,8 @@
 def test_a_gang_of_a_team_at_its_limit_gets_share_and_machine() -> None:
     """Found on a simulated steady day: a gang larger than its part's share waited for 450 s. Its
     team's arrays held the whole limit, so no machine was planned for it, and share that came free
-    in its part was sent to where arrays had room."""
+    in its part was sent to where arrays had room.
+    """
     w = World(13)
     w.run(4.0)
     arrays = [w.submit(spec(n, team="blue", tasks=150, estimate_s=4.0)) for n in (1, 2)]
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -139,7 +139,8 @@
 
 def test_a_takeover_reads_its_pages_ahead_of_users() -> None:
     """Found by incident inc-40fe: the pages were read in the lane behind all others, polls of the
-    part's jobs filled it, and the workers' leases ran out before the part was ready."""
+    part's jobs filled it, and the workers' leases ran out before the part was ready.
+    """
     world = warm(415)
     job = world.submit(spec(1, tasks=12, estimate_s=60.0))
     world.run(2.0)
--- a/tests/test_lost_workers.py
+++ b/tests/test_lost_workers.py
@@ -17,7 +17,8 @@
 @pytest.mark.parametrize("seed", [440, 441, 442])
 def test_no_part_goes_to_a_controller_that_has_lost_its_workers(seed: int) -> None:
     """Found on a simulated day: the part was given away, another came back at once, and its
-    workers' leases ran out because a new owner that hears nobody did not notice."""
+    workers' leases ran out because a new owner that hears nobody did not notice.
+    """
     world = World(seed, 3, teams=[{"name": "red", "cpus": 40.0, "cpus_max": 80.0}])
     world.run(4.0)
     jobs = [world.submit(spec(n, tasks=10, cpus=4.0, estimate_s=120.0)) for n in (1, 2)]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -161,7 +161,8 @@
 
 def test_a_cancel_that_only_its_giver_knows_comes_with_the_promise() -> None:
     """The owner is refused by the state service and not reached by the one that commits; what it
-    then acts on, promises, brings the entry."""
+    then acts on, promises, brings the entry.
+    """
     w = warm(4021)
     job = w.submit(spec(1, tasks=12, estimate_s=300.0))
     w.run(16.0)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -154,7 +154,8 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_a_gang_is_never_left_half_started(seed: int) -> None:
     """Some of its machines fall at any moment between the first launch and the end: it is
-    completed, started again whole, or stopped whole, and what it holds comes free."""
+    completed, started again whole, or stopped whole, and what it holds comes free.
+    """
     rng = random.Random(seed)
     w = warm(3200 + seed)
     w.copies = 0.05
--- a/tests/test_rental_intents.py
+++ b/tests/test_rental_intents.py
@@ -52,7 +52,8 @@
 @pytest.mark.parametrize(("age_s", "sent"), [(300.0, False), (30.0, False), (5.0, True)])
 def test_a_new_owner_does_not_send_old_refused_rentals_again(age_s: float, sent: bool) -> None:
     """Found on simulated days with a crash: a new owner sent every refused request of minutes
-    before, one after the other, and got machines for them long after the need was over."""
+    before, one after the other, and got machines for them long after the need was over.
+    """
     world = World(451, 3)
     world.capacity = 100
     world.run(4.0)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -476,7 +476,8 @@
 
 def test_a_part_lost_and_given_back_is_rebuilt_even_if_only_the_split_is_read() -> None:
     """Found by a hunt: a node that had been cut read the split ahead of its view, took the part
-    that was given back to it for the one it had lost, and started what ran elsewhere."""
+    that was given back to it for the one it had lost, and started what ran elsewhere.
+    """
     w = warm(34)
     w.submit(spec(1, tasks=9, estimate_s=30.0))
     w.run(8.0)
@@ -562,7 +563,8 @@
 
 def test_an_earlier_migration_does_not_restore_what_a_later_one_dropped() -> None:
     """Found on a simulated rough day: a task ran twice, because the end of one migration put the
-    task numbers of the next one back while that was being committed."""
+    task numbers of the next one back while that was being committed.
+    """
     w = warm(20)
     w.capacity = 1
     job = w.submit(spec(1, tasks=30, team="red", estimate_s=30.0))
@@ -618,7 +620,8 @@
 
 def test_a_hurried_gang_gets_its_teams_share_from_the_teams_own_arrays() -> None:
     """Found on a simulated steady day: a team's arrays held its whole limit, and its urgent gangs
-    waited for minutes. The class had two aims, too, and only the longer one was looked at."""
+    waited for minutes. The class had two aims, too, and only the longer one was looked at.
+    """
     aims = [
         {"kind": "wait", "class": "g", "within_s": 4.0, "share": 0.9},
         {"kind": "wait", "class": "g", "within_s": 60.0, "share": 0.97},
