The plan for the fleet in a module of its own, in short steps; retiring machines in another

renting.plan (over 200 lines) becomes core/planning.py, a planner with a method per step; hollow, absent and broken move to core/retiring.py.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -30,7 +30,7 @@
 from marblestair.core.part import Machine, Part
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
-from marblestair.core.renting import absent
+from marblestair.core.retiring import absent
 from marblestair.core.shares import within_guarantee
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -29,6 +29,7 @@
 from marblestair.core.flow import Flow, Step
 from marblestair.core.model import GANG, JobRecord, JobSpec, MachineType, Order, Report
 from marblestair.core.part import Machine, Part
+from marblestair.core.planning import plan
 from marblestair.core.renting import (
     Coming,
     Have,
@@ -37,12 +38,9 @@
     Plan,
     Tuning,
     Want,
-    absent,
-    broken,
-    hollow,
     kinds,
-    plan,
 )
+from marblestair.core.retiring import absent, broken, hollow
 from marblestair.core.shares import hopeless
 from marblestair.core.split import MachineRecord, even
 
--- /dev/null
+++ b/marblestair/core/planning.py
@@ -0,0 +1,402 @@
+"""The plan for the fleet: what to rent, what to set aside and what to give back.
+
+Every owner computes the same plan from the records and from what the owners tell one another,
+and carries out its own share of it; machines rented anywhere serve all, since unstarted slices
+migrate to where there is room.
+
+For arrays the plan asks how much capacity the work needs to be done when it is due. What is due
+before a machine rented now could have done it cannot be helped by renting, so it counts as due
+when such a machine would have done it. For gangs it asks for whole machines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+from marblestair.core.model import GANG, PRIORITIES, JobSpec, MachineType
+from marblestair.core.renting import (
+    LEAST_AGE_S,
+    Coming,
+    Have,
+    Kind,
+    Load,
+    Plan,
+    Tuning,
+    Want,
+    kinds,
+    per_machine,
+    price_per_task,
+    spares,
+)
+
+#: run times ahead of its due time from which on work is worth ordinary machines, though it may run
+#: on spot ones
+DEAR_LEAD = 1.5
+#: share of the capacity that must lack before ordinary machines are rented for work that may run on
+#: spot ones
+DEAR_LACK = 0.03
+#: boots take up to this many times the usual time, as a rule
+SLOW_BOOTS = 1.2
+#: price of spot work against an ordinary machine's below which the latter is to be replaced
+CHEAPER = 0.7
+#: part of a rental that any part may make
+ANY_PART = -1
+#: number of a part, or ANY_PART, with the type, zone and spot of a machine
+WantedKind = tuple[tuple[str, str, bool], int]
+
+
+def plan(
+    loads: list[Load],
+    machines: list[Have],
+    types: dict[str, MachineType],
+    refused: Callable[[Kind], bool],
+    usual: float,
+    expected: dict[str, Coming],
+    tuning: Tuning,
+    smooth: Callable[[float], float] = lambda x: x,
+) -> Plan:
+    """Return the plan for the whole fleet; the same from the same inputs.
+
+    ``usual`` is the size of a usual array job, ``expected`` the classes of gangs that come.
+    ``smooth`` follows the target over time: a machine that is rented for a short burst is up only
+    when the burst is over.
+    """
+    planner = _Planner(loads, machines, types, refused, tuning)
+    planner.find_scarce_types(expected)
+    planner.set_aside_for_waiting_gangs()
+    planner.set_aside_for_expected_gangs(expected)
+    planner.set_target(usual, smooth)
+    planner.rent_for_arrays()
+    planner.rent_in_bound_zones()
+    planner.rent_for_unserved_arrays()
+    planner.drain_surplus()
+    planner.release_idle()
+    return planner.finish()
+
+
+class _Planner:
+    """One plan in the making."""
+
+    def __init__(
+        self,
+        loads: list[Load],
+        machines: list[Have],
+        types: dict[str, MachineType],
+        refused: Callable[[Kind], bool],
+        tuning: Tuning,
+    ) -> None:
+        self._machines = machines
+        self._types = types
+        self._refused = refused
+        self._tuning = tuning
+        self._gangs = [load for load in loads if load.spec.kind == GANG]
+        self._arrays = [load for load in loads if load.spec.kind != GANG]
+        self._boot_s = SLOW_BOOTS * min((t.boot_s for t in types.values()), default=30.0)
+        self._plan = Plan([], [])
+        #: machines that run gangs or are set aside for them
+        self._taken = {m.name for m in machines if m.gang}
+        self._wanted: dict[WantedKind, int] = {}
+        #: types that only some classes' large tasks need: left to them where possible
+        self._scarce: set[str] = set()
+        #: share of the target that is worth ordinary machines where work may run on spot ones
+        self._dear_share = 1.0
+        self._kinds: dict[tuple[object, ...], list[Kind]] = {}
+        self._by_part: dict[int, list[Have]] = {}
+
+    def find_scarce_types(self, expected: dict[str, Coming]) -> None:
+        """Note the types that not every class can do without."""
+        for coming in expected.values():
+            fitting = {kind.type.name for kind in kinds(coming.spec, self._types)}
+            if len(fitting) < len(self._types):
+                self._scarce |= fitting
+
+    # --- gangs -----------------------------------------------------------------------------
+
+    def set_aside_for_waiting_gangs(self) -> None:
+        """Set whole machines aside for gangs that wait, and rent what is missing."""
+        for load in self._gangs:
+            if load.pending:
+                aside = partial(self._reserve, job=load.spec.id)
+                self._set_aside(load.spec, load.pending, load.part, aside)
+
+    def set_aside_for_expected_gangs(self, expected: dict[str, Coming]) -> None:
+        """Keep machines ready for classes whose starts are wanted sooner than a machine boots."""
+        if not self._tuning.spare_gangs:
+            return
+        for _, coming in sorted(expected.items()):
+            if not coming.hurry:
+                continue
+            spec = coming.spec
+            # Where a gang may stop what runs there, arrays may use its machine meanwhile.
+            level = PRIORITIES[spec.priority]
+            shared = all(PRIORITIES[load.spec.priority] < level for load in self._arrays)
+            count = self._tuning.spare_gangs
+            aside: Callable[[str], None] = partial(self._reserve, job="")
+            if shared:
+                count = spares(coming, self._types, count)
+                aside = self._plan.drain.add
+            self._set_aside(spec, count * spec.tasks, ANY_PART, aside)
+
+    def _reserve(self, machine: str, job: str) -> None:
+        self._plan.reserved[machine] = job
+
+    def _set_aside(
+        self, spec: JobSpec, tasks: int, part: int, aside: Callable[[str], None]
+    ) -> None:
+        """Set machines aside for tasks of a gang's kind, and rent what is missing.
+
+        Those that are soonest empty go first, and of these the ones in the gang's own part.
+        """
+        options = [kind for kind in kinds(spec, self._types) if not self._refused(kind)]
+        fitting, room = self._fitting(spec, part)
+        most_in_zone = tasks
+        if spec.one_zone:
+            zones = {kind.zone for kind in options} | set(room)
+            if not zones:
+                return
+            zone = min(zones, key=lambda z: (-room.get(z, 0), z))
+            fitting = [m for m in fitting if m.zone == zone]
+            options = [kind for kind in options if kind.zone == zone]
+        elif spec.spread:
+            most_in_zone = (tasks + 1) // 2
+        in_zone: dict[str, int] = {}
+        for m in fitting:
+            if tasks <= 0:
+                return
+            count = min(
+                tasks, per_machine(m.type, spec.need), most_in_zone - in_zone.get(m.zone, 0)
+            )
+            if count > 0:
+                self._taken.add(m.name)
+                aside(m.name)
+                in_zone[m.zone] = in_zone.get(m.zone, 0) + count
+                tasks -= count
+        self._rent_for_gang(spec, tasks, part, options, in_zone, most_in_zone)
+
+    def _fitting(self, spec: JobSpec, part: int) -> tuple[list[Have], dict[str, int]]:
+        """Return machines that may be set aside for a gang's tasks, and their room by zone."""
+        #: tasks that a machine of a kind holds, counted once per kind
+        holds: dict[tuple[str, str, bool], int] = {}
+        fitting: list[Have] = []
+        room: dict[str, int] = {}
+        for m in self._soonest_empty(part):
+            if m.name in self._taken or m.absent:
+                continue
+            kind = (m.type.name, m.zone, m.spot)
+            if kind not in holds:
+                fits = spec.may_run_on(*kind)
+                holds[kind] = per_machine(m.type, spec.need) if fits else 0
+            if holds[kind]:
+                fitting.append(m)
+                room[m.zone] = room.get(m.zone, 0) + holds[kind]
+        return fitting, room
+
+    def _soonest_empty(self, part: int) -> list[Have]:
+        """Return the machines in the order in which they fall empty, put in order once per part."""
+        if part not in self._by_part:
+            self._by_part[part] = sorted(
+                self._machines,
+                key=lambda m: (m.ready_s(self._boot_s), m.part != part, m.spot, m.name),
+            )
+        return self._by_part[part]
+
+    def _rent_for_gang(
+        self,
+        spec: JobSpec,
+        tasks: int,
+        part: int,
+        options: list[Kind],
+        in_zone: dict[str, int],
+        most_in_zone: int,
+    ) -> None:
+        while tasks > 0:
+            open_kinds = [kind for kind in options if in_zone.get(kind.zone, 0) < most_in_zone]
+            if not open_kinds:
+                return
+            best = self._cheapest_first(open_kinds, spec, set())[0]
+            count = min(
+                tasks,
+                per_machine(best.type, spec.need),
+                most_in_zone - in_zone.get(best.zone, 0),
+            )
+            self._want(best, 1, part)
+            in_zone[best.zone] = in_zone.get(best.zone, 0) + count
+            tasks -= count
+
+    # --- arrays ----------------------------------------------------------------------------
+
+    def set_target(self, usual: float, smooth: Callable[[float], float]) -> None:
+        """Decide how many cpus the arrays should have, and count those that they have."""
+        target = _array_target(self._arrays, self._boot_s, self._tuning)
+        if target > 0:
+            dear = _array_target(self._arrays, self._boot_s, self._tuning, DEAR_LEAD)
+            self._dear_share = dear / target
+        if self._arrays or usual:
+            target += self._tuning.reserve * usual
+        self._plan.target = smooth(target)
+        self._plan.capacity = sum(m.type.cpus for m in self._for_arrays())
+
+    def rent_for_arrays(self) -> None:
+        """Rent the cheapest kind for what lacks, beyond machines that spot ones would replace."""
+        dearest = self._cheapest_spot_cpu() / CHEAPER
+        capacity = sum(m.type.cpus for m in self._for_arrays() if not self._is_dearer(m, dearest))
+        target = self._plan.target
+        if not self._arrays or target <= capacity:
+            return
+        widest = _widest(self._arrays)
+        lack = target - capacity
+        options = self._open_kinds(widest.spec)
+        for kind in options:
+            # A machine much larger than what lacks would stand half empty.
+            if kind.type.cpus > 2 * lack and kind is not options[-1] and not kind.spot:
+                continue
+            if not kind.spot and widest.spec.spot and self._plan.capacity > 0:
+                lack = self._dear_share * target - capacity
+                if lack < DEAR_LACK * self._plan.capacity:
+                    # Neither work that has time left nor noise in the need of a large fleet is
+                    # worth a dear machine.
+                    return
+            # Less than half a machine is not worth one, unless there is none at all.
+            count = round(lack / kind.type.cpus)
+            if self._plan.capacity <= 0:
+                count = max(1, count)
+            self._want(kind, count, ANY_PART)
+            return
+
+    def rent_in_bound_zones(self) -> None:
+        """Rent for work that is bound to a zone: it is not served by what stands in another."""
+        bound: dict[str, list[Load]] = {}
+        for load in self._arrays:
+            if load.spec.zone is not None and load.pending:
+                bound.setdefault(load.spec.zone, []).append(load)
+        for zone, loads in sorted(bound.items()):
+            options = self._open_kinds(_widest(loads).spec)
+            if not options:
+                continue
+            here = sum(m.type.cpus for m in self._for_arrays() if m.zone == zone and not m.absent)
+            asked = sum(
+                count * self._types[kind[0]].cpus
+                for (kind, _), count in self._wanted.items()
+                if kind[1] == zone
+            )
+            target = _array_target(loads, self._boot_s, self._tuning)
+            count = round((target - here - asked) / options[0].type.cpus)
+            self._want(options[0], count, ANY_PART)
+
+    def rent_for_unserved_arrays(self) -> None:
+        """Rent a machine for work that no machine at hand may run, whatever the capacity."""
+        for load in self._arrays:
+            if not load.pending or self._is_served(load.spec):
+                continue
+            options = self._open_kinds(load.spec)
+            wanted = {kind for kind, _ in self._wanted}
+            if options and not any(kind.key in wanted for kind in options):
+                self._want(options[0], 1, ANY_PART)
+
+    def _is_served(self, spec: JobSpec) -> bool:
+        return any(
+            spec.may_run_on(m.type.name, m.zone, m.spot) and per_machine(m.type, spec.need)
+            for m in self._machines
+            if m.name not in self._plan.reserved
+        )
+
+    def _cheapest_spot_cpu(self) -> float:
+        """Return the lowest price of a cpu for the arrays' work on spot machines to be had."""
+        risk = 1 + self._tuning.spot_risk
+        prices = [
+            kind.price * risk / max(kind.type.cpus, 1.0)
+            for kind in {
+                k.key: k for load in self._arrays for k in self._kinds_of(load.spec)
+            }.values()
+            if kind.spot and not self._refused(kind)
+        ]
+        return min(prices, default=1e18)
+
+    def _is_dearer(self, m: Have, price_per_cpu: float) -> bool:
+        """Whether an ordinary machine costs more than a price for a cpu."""
+        if m.spot or not self._arrays:
+            return False
+        return m.type.price / max(m.type.cpus, 1.0) > price_per_cpu
+
+    # --- surplus ---------------------------------------------------------------------------
+
+    def drain_surplus(self) -> None:
+        """Let whole machines beyond the target fall idle: dear ones first, then the emptiest."""
+        surplus = self._plan.capacity - self._plan.target
+        for m in sorted(
+            self._machines, key=lambda m: (m.spot, m.used / max(1, m.type.size[0]), m.name)
+        ):
+            if m.name not in self._taken and not m.absent and surplus >= m.type.cpus:
+                surplus -= m.type.cpus
+                self._plan.drain.add(m.name)
+                self._plan.empty.add(m.name)
+
+    def release_idle(self) -> None:
+        """Give back idle machines that neither arrays nor a waiting gang need, dearest first."""
+        surplus = self._plan.capacity - self._plan.target
+        idle = [m for m in self._for_arrays() if m.idle >= 0]
+        idle.sort(key=lambda m: (m.spot, -(m.type.price / max(m.type.cpus, 1.0)), m.name))
+        for m in idle:
+            if m.age < LEAST_AGE_S or m.idle < self._tuning.idle_boots * m.type.boot_s:
+                continue
+            if surplus >= m.type.cpus * self._tuning.keep or not self._arrays:
+                surplus -= m.type.cpus
+                self._plan.release.append(m.name)
+
+    def finish(self) -> Plan:
+        """Return the plan with its rentals."""
+        self._plan.rent = [Want(*kind, count, part) for (kind, part), count in self._wanted.items()]
+        return self._plan
+
+    # --- common ----------------------------------------------------------------------------
+
+    def _for_arrays(self) -> list[Have]:
+        """Return the machines that no gang runs on or waits for."""
+        return [m for m in self._machines if m.name not in self._taken]
+
+    def _want(self, kind: Kind, count: int, part: int) -> None:
+        if count > 0:
+            wanted = (kind.key, part)
+            self._wanted[wanted] = self._wanted.get(wanted, 0) + count
+
+    def _kinds_of(self, spec: JobSpec) -> list[Kind]:
+        """Return the kinds a job may run on, found once per shape: many jobs have the same."""
+        types = None if spec.types is None else tuple(spec.types)
+        shape = (types, spec.zone, spec.spot, spec.need)
+        if shape not in self._kinds:
+            self._kinds[shape] = kinds(spec, self._types)
+        return self._kinds[shape]
+
+    def _open_kinds(self, spec: JobSpec) -> list[Kind]:
+        """Return the kinds a job may run on that are not refused now, cheapest first."""
+        options = [kind for kind in self._kinds_of(spec) if not self._refused(kind)]
+        return self._cheapest_first(options, spec, self._scarce)
+
+    def _cheapest_first(self, options: list[Kind], spec: JobSpec, scarce: set[str]) -> list[Kind]:
+        return sorted(
+            options, key=lambda k: (price_per_task(k, spec, self._tuning, scarce), k.zone)
+        )
+
+
+def _widest(loads: list[Load]) -> Load:
+    return max(loads, key=lambda load: (load.pending * load.spec.cpus, load.spec.id))
+
+
+def _array_target(loads: list[Load], boot_s: float, tuning: Tuning, lead: float = 1e9) -> float:
+    """Return the cpus with which the waiting arrays are done well before they are due.
+
+    They need not be done earlier than ``lead`` run times ahead of that.
+    """
+    target = 0.0
+    for x in loads:
+        c = x.spec.cpus
+        target += x.running * c
+        if x.pending:
+            # What can no longer be done in time is served last; it need not be hurried.
+            lost = x.due < 0.3 * x.run_s
+            time = 3.0 * (boot_s + x.run_s) if lost else max(tuning.haste * x.due, x.run_s)
+            if not lost:
+                time = max(time, x.due - lead * x.run_s)
+            target += min(x.pending * x.run_s / time, x.wide) * c
+    return target * (1 + tuning.margin)
--- /dev/null
+++ b/marblestair/core/retiring.py
@@ -0,0 +1,99 @@
+"""Which machines to empty or to give back because they do not serve."""
+
+from __future__ import annotations
+
+from marblestair.core.model import GANG
+from marblestair.core.part import Machine, Part
+from marblestair.core.renting import LEAST_AGE_S
+
+#: work lost by emptying a machine, against the room that would stand free meanwhile
+HOLLOW = 0.5
+#: report intervals that pass until a task that was stopped and has saved goes on elsewhere
+SAVED_REPORTS = 3.0
+#: how many machines that fall silent at once, at least and as a share of a part, are waited for,
+#: and for how many leases
+TOGETHER, TOGETHER_SHARE, ABSENT_LEASES = 3, 0.06, 3.0
+#: leases of a worker after which a machine of an unknown type that never reported is given up
+UNKNOWN_BOOT_LEASES = 9.0
+
+
+def hollow(part: Part, names: set[str], now: float) -> list[Machine]:
+    """Choose nearly empty machines that are worth emptying.
+
+    Of the machines that are to fall idle, those where stopping what still runs, to run it again
+    elsewhere, loses less than waiting for its end.
+    """
+    out: list[tuple[float, str, Machine]] = []
+    room = 0
+    for m in part.machines.values():
+        if m.usable(now) and m.name not in names:
+            room += m.free[0]
+    for name in names:
+        found = part.machines.get(name)
+        if found is None or found.type is None or not found.usable(now) or not found.placed:
+            continue
+        if now - found.added < LEAST_AGE_S or any(
+            p.grace is not None or p.state != "running" for p in found.placed.values()
+        ):
+            continue
+        lost = left = 0.0
+        for p in found.placed.values():
+            s = part.slices.get(p.job)
+            if s is None or s.spec.kind == GANG or s.cancelled or p.run_since is None:
+                break
+            ran = now - p.run_since
+            saves = s.spec.checkpoint_s > 0
+            again_s = s.spec.save_s + SAVED_REPORTS * part.cluster.workers.report_s
+            lost += p.need[0] * (min(ran, again_s) if saves else ran)
+            # What has run long already is as likely as not to run as long again.
+            left = max(left, s.spec.estimate_s - ran, 0.5 * ran)
+        else:
+            if lost < HOLLOW * found.free[0] * left:
+                out.append((lost, name, found))
+    chosen = []
+    for _, _, m in sorted(out, key=lambda x: x[:2]):
+        used = (m.type.size[0] if m.type is not None else 0) - m.free[0]
+        if used <= room:
+            room -= used
+            chosen.append(m)
+    return chosen
+
+
+def absent(part: Part, lease_s: float, now: float) -> set[str]:
+    """Return machines that fell silent together with many others.
+
+    That is a failure of the network rather than of the machines, and most of them will be back.
+    """
+    gone = [m for m in part.machines.values() if m.silent and m.session and not m.failed]
+    if len(gone) < max(TOGETHER, TOGETHER_SHARE * len(part.machines)):
+        return set()
+    return {m.name for m in gone if now - max(m.seen, part.since) < ABSENT_LEASES * lease_s}
+
+
+def broken(part: Part, lease_s: float, now: float) -> list[str]:
+    """Machines to give back because they do not serve: never up, silent, condemned, faulty."""
+    out = []
+    waited_for = absent(part, lease_s, now)
+    known = [m for m in part.machines.values() if m.session]
+    # Where most do not seem to hear, it is this controller that is not heard.
+    alone = 2 * sum(m.deaf for m in known) <= len(known)
+    for m in part.machines.values():
+        if m.releasing:
+            continue
+        patience_s = UNKNOWN_BOOT_LEASES * lease_s
+        if m.type is not None:
+            patience_s = part.boots.give_up_s(m.type, now)
+        late = not m.session and now - m.added > patience_s + lease_s
+        lost = m.silent and m.session and now - max(m.seen, part.since) > 1.5 * lease_s
+        lost = (lost and m.name not in waited_for) or m.failed
+        faulty = not m.placed and part.faults.is_faulty(m.name)
+        # A machine that is taken back is of no more use once it is empty; and once it is due to
+        # be gone, the cloud's word for it settles its tasks sooner than their lease would.
+        taken = m.notice_at is not None and (
+            not m.placed or (now > m.notice_at + 1.0 and now - m.seen > 0.25 * lease_s)
+        )
+        deaf = m.deaf and not m.silent and alone and now - m.deaf_since > 1.5 * lease_s
+        emptied = m.returning and not m.placed
+        if emptied or late or lost or deaf or m.condemned or faulty or taken:
+            out.append(m.name)
+    return out
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,7 +6,7 @@
 
 from marblestair.core.faults import REMEMBERED, Faults
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.renting import broken
+from marblestair.core.retiring import broken
 from marblestair.settings import Workers
 from tests.fakes.world import TYPES, FakeTask, Order, Worker, World, spec
 from tests.test_stories import owner, warm
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -12,7 +12,7 @@
 from marblestair.core.controller import Controller
 from marblestair.core.model import MachineType
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.renting import hollow
+from marblestair.core.retiring import hollow
 from tests.fakes.world import World, spec
 
 LARGE = [
--- a/tests/test_guest_teams.py
+++ b/tests/test_guest_teams.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.renting import hollow
+from marblestair.core.retiring import hollow
 from marblestair.core.shares import order_key, refusal
 from marblestair.core.split import first
 from marblestair.settings import UNLIMITED, Team
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,7 +13,8 @@
 from marblestair.core.controller import Controller
 from marblestair.core.jobs import PartReport
 from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.renting import Have, Load, Tuning, plan
+from marblestair.core.planning import plan
+from marblestair.core.renting import Have, Load, Tuning
 from tests.fakes.world import TYPES, Worker, World, spec
 from tests.test_added_rules import busy
 from tests.test_stories import owner, warm
