--- a/marblestair/core/planning.py
+++ b/marblestair/core/planning.py
@@ -40,6 +40,8 @@
 SLOW_BOOTS = 1.2
 #: price of spot work against an ordinary machine's below which the latter is to be replaced
 CHEAPER = 0.7
+#: more than any price, where no spot machine is to be had
+NO_PRICE = 1e18
 #: part of a rental that any part may make
 ANY_PART = -1
 #: number of a part, or ANY_PART, with the type, zone and spot of a machine
@@ -304,14 +306,15 @@
     def _cheapest_spot_cpu(self) -> float:
         """Return the lowest price of a cpu for the arrays' work on spot machines to be had."""
         risk = 1 + self._tuning.spot_risk
+        # One list of kinds for each shape of task: many jobs have the same.
+        shapes = [self._kinds_of(load.spec) for load in self._arrays]
         prices = [
             kind.price * risk / max(kind.type.cpus, 1.0)
-            for kind in {
-                k.key: k for load in self._arrays for k in self._kinds_of(load.spec)
-            }.values()
+            for found in {id(found): found for found in shapes}.values()
+            for kind in found
             if kind.spot and not self._refused(kind)
         ]
-        return min(prices, default=1e18)
+        return min(prices, default=NO_PRICE)
 
     def _is_dearer(self, m: Have, price_per_cpu: float) -> bool:
         """Whether an ordinary machine costs more than a price for a cpu."""
