--- a/marblestair/core/faults.py
+++ b/marblestair/core/faults.py
@@ -12,8 +12,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from marblestair.settings import Workers
 
@@ -64,6 +64,9 @@
         self.retry_at: dict[str, float] = {}
 
 
+Evidence = TypeVar("Evidence", JobEvidence, MachineEvidence)
+
+
 class Faults:
     """The evidence of one controller, and its judgement."""
 
@@ -222,20 +225,22 @@
         evidence.retry_at = now + evidence.pause_s
 
     def _job(self, job: str) -> JobEvidence:
-        evidence = self._jobs.get(job)
-        if evidence is None:
-            evidence = self._jobs[job] = JobEvidence()
-            while len(self._jobs) > REMEMBERED:
-                self._jobs.popitem(last=False)
-        return evidence
+        return _entry(self._jobs, job, JobEvidence)
 
     def _machine(self, machine: str) -> MachineEvidence:
-        evidence = self._machines.get(machine)
-        if evidence is None:
-            evidence = self._machines[machine] = MachineEvidence()
-            while len(self._machines) > REMEMBERED:
-                self._machines.popitem(last=False)
-        return evidence
+        return _entry(self._machines, machine, MachineEvidence)
+
+
+def _entry(
+    evidence: OrderedDict[str, Evidence], key: str, make: Callable[[], Evidence]
+) -> Evidence:
+    """Return what is known under a key, made new if need be; of too many the oldest is dropped."""
+    known = evidence.get(key)
+    if known is None:
+        known = evidence[key] = make()
+        while len(evidence) > REMEMBERED:
+            evidence.popitem(last=False)
+    return known
 
 
 def _keep(latest: OrderedDict[str, Any], key: str, value: Any) -> None:
