The machines of a part that changes hands are counted on until they must have gone

Cause: since overdue machines are not counted on, a new owner told the others to leave out every machine that had not reported to it yet, which at a takeover is all of the part; they rented in its place.

--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -6,6 +6,7 @@
 
 from marblestair.core.boots import MOST_RATIO, BootTimes
 from tests.fakes.world import TYPES, Worker, World, spec
+from tests.test_stories import owner
 
 KIND = TYPES[0]
 
@@ -84,3 +85,27 @@
     assert world.finish(job, 60.0)
     assert {name for _, _, _, name, _ in world.starts} == {boots.first[0].name}
     assert not world.broken
+
+
+def test_the_machines_of_a_part_that_changes_hands_are_counted_on() -> None:
+    """Found by the full score: the others rented in place of a part whose new owner had not heard
+    its machines yet.
+    """
+    world = World(462, 3, teams=[{"name": "red", "cpus": 40.0, "cpus_max": 80.0}])
+    world.run(4.0)
+    world.submit(spec(1, tasks=20, cpus=4.0, estimate_s=300.0))
+    world.run(30.0)
+    core = world.cores["n0"]
+    assert core is not None
+    machines = set(core.view.machines)
+    assert len(machines) >= 6
+    dead = owner(world, 1)
+    world.kill(dead, back_after=60.0)
+    left: set[str] = set()
+    for _ in range(40):
+        world.run(0.25)
+        for name, other in world.cores.items():
+            if other is not None and name != dead:
+                left |= {x for _, told in other.gossip.values() for x in told.leaving}
+    assert not left & machines
+    assert not world.broken
