A machine is overdue by the time it has been in its part, also after a move

Found on rereading: a machine that moves to a gang's part has not reported there yet and counted as overdue, so the others could rent once more what is there. The case in tests/test_boots.py fails without the change.

--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -523,7 +523,7 @@
             gone = m.releasing or m.condemned or m.returning
             if m.name in away and not gone:
                 continue
-            if gone or m.silent or m.deaf or m.notice_at is not None or self._is_overdue(p, m):
+            if gone or m.silent or m.deaf or m.notice_at is not None or self._is_overdue(m):
                 leaving.append(m.name)
             elif m.draining:
                 # On its way to a gang's part: neither idle nor lost to the plan, which would rent
@@ -555,17 +555,16 @@
             failing=[x for x in self.faults.failing() if x[0] in p.slices],
         )
 
-    def _is_overdue(self, part: Part, m: Machine) -> bool:
+    def _is_overdue(self, m: Machine) -> bool:
         """Whether a machine that was rented should have reported by now.
 
-        One that was there at a takeover may have reported to the earlier owner: it is counted on
-        until it reports here, or its lease must have run out. Were it not, the others would rent
-        machines in place of the whole part.
+        The time counts from its arrival in the part: after a takeover, or a move from another
+        part, it may have reported elsewhere. Were it left out until it reports here, the others
+        would rent machines in place of the whole part.
         """
-        rec = self.view.machines.get(m.name)
-        if m.session or m.type is None or rec is None or m.name in part.suspects:
+        if m.session or m.type is None:
             return False
-        return self.boots.is_overdue(m.type, self.wall - rec.since, self.now)
+        return self.boots.is_overdue(m.type, self.now - m.added, self.now)
 
     def status(self) -> dict[str, Any]:
         """What this node sees and does, for operators."""
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -5,6 +5,8 @@
 import pytest
 
 from marblestair.core.boots import MOST_RATIO, BootTimes
+from marblestair.core.part import Machine
+from marblestair.core.split import MachineRecord
 from tests.fakes.world import TYPES, Worker, World, spec
 from tests.test_stories import owner
 
@@ -109,3 +111,19 @@
                 left |= {x for _, told in other.gossip.values() for x in told.leaving}
     assert not left & machines
     assert not world.broken
+
+
+def test_a_machine_that_has_just_moved_to_another_part_is_counted_on() -> None:
+    world = World(463, 1)
+    world.run(4.0)
+    core = world.cores["n0"]
+    assert core is not None
+    world.set_time(core)
+    part = core.acting()[0]
+    machine = Machine("host-900", KIND.name, "a", False, core.now)
+    part.add_machine(machine)
+    machine.set_type(KIND)
+    core.view.machines["host-900"] = MachineRecord(part.number, KIND.name, "a", False, 0.0)
+    assert core.measure(part).leaving == []
+    core.set_time(core.now + 1.7 * KIND.boot_s, core.wall)
+    assert core.measure(part).leaving == ["host-900"]
