--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marblestair.core import keys
-from marblestair.core.calls import LEASE, LOOKUP, Get, ListKeys, PeerCall
+from marblestair.core.calls import LEASE, LOOKUP, Get, Inspect, ListKeys, PeerCall
 from tests.fakes.world import World, spec
 from tests.test_stories import owner, warm
 
@@ -43,6 +43,10 @@
         wanted = (keys.JOBS + job, keys.FINALS + job)
         return sum(isinstance(call, Get) and call.key in wanted for call in self.calls)
 
+    def outside(self) -> int:
+        """How many calls went to the state service or the cloud."""
+        return sum(not isinstance(call, (PeerCall, Inspect)) for call in self.calls)
+
     def count(self, kind: type) -> int:
         """How many calls of a kind were made."""
         return sum(isinstance(call, kind) for call in self.calls)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -16,6 +16,7 @@
 from marblestair.core import keys
 from marblestair.core.calls import Commit, PeerCall
 from tests.fakes.world import World, spec
+from tests.test_lookups import Recorder, manager_of
 from tests.test_stories import owner, warm
 
 
@@ -200,3 +201,24 @@
     assert not held and not w.broken
     # What it held serves others.
     assert w.finish(w.submit(spec(2, tasks=12, estimate_s=3.0)), 120.0)
+
+
+@pytest.mark.parametrize("leases", [0.3, 0.8, 2.5])
+def test_waking_does_not_burst_into_the_state_service_or_the_cloud(leases: float) -> None:
+    """All timers of a frozen node fall due together when it goes on."""
+    world = warm(480, teams=[{"name": "red", "cpus": 40.0, "cpus_max": 60.0}])
+    job = world.submit(spec(1, tasks=30, estimate_s=120.0))
+    world.run(20.0)
+    node = manager_of(world, job)
+    recorder = Recorder(world, node)
+    world.run(10.0)
+    usual = recorder.outside()
+    assert usual > 0
+    world.freeze(node, leases * world.lease_s)
+    world.run(leases * world.lease_s)
+    recorder.calls.clear()
+    world.run(2.0)
+    # In the two seconds after it goes on no more than in ten ordinary ones.
+    assert recorder.outside() <= usual
+    assert world.finish(job, 300.0)
+    assert not world.broken
