--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -9,6 +9,7 @@
 from marblestair.core import keys
 from marblestair.core.calls import LEASE, LOOKUP, Get, Inspect, ListKeys, PeerCall
 from tests.fakes.world import World, spec
+from tests.test_growth import steps
 from tests.test_stories import owner, warm
 
 
@@ -160,3 +161,22 @@
     assert pages
     assert {call.lane for call in pages} == {LEASE}
     assert not world.broken
+
+
+def test_the_steps_of_a_poll_do_not_grow_with_the_jobs() -> None:
+    cost = {}
+    for jobs in (3, 60):
+        world = warm(416)
+        ids = [world.submit(spec(n, tasks=4, estimate_s=200.0)) for n in range(1, jobs + 1)]
+        world.run(2.0)
+        node = manager_of(world, ids[0])
+        core = world.cores[node]
+        assert core is not None
+
+        def poll(core: Any = core, job: str = ids[0]) -> None:
+            for number in range(100):
+                core.spawn(core.jobs.query((1 << 40) + number, job))
+
+        cost[jobs] = steps(poll) / 100
+    assert cost[3] < 40
+    assert cost[60] <= 1.1 * cost[3]
