An answer never goes back: changes on their way are in doubt, deletions are remembered

Cause, found in two parts, each shown by a test that fails on the sources before:

The manager of a job counted a change of its record as in doubt only once its answer had failed to come. From the sending on, the final state may be committed, found by the other nodes through their watches and told there, while the manager still told "running" from memory. ManagedJob.change now counts every change as unsettled from before it is sent until its fate is known; meanwhile the manager answers by a fresh read, as in doubt before. 2. A deletion left no trace in a node's view of the state service. A late read, or the late answer to an own commit, put a deleted record back in, and the watch, already past the deletion, never took it out. Whoever took the manager part over told "queued" for a finished job, or started tasks of a cancelled one. View._is_news holds the one rule for all ways in. A read that finds nothing is taken in at its revision, instead of whatever was known.

How it was found: by the suspicions of reading, tried in the tests' simulated deployment, which now has late or lost answers of the state service, lagging watches, listings in pages and a short log of changes.

With the stricter view, a cancelled record that was read late is not taken for a waiting job (Answers.fresh). A malformed answer of the state service (an absence or a commit without its revision) counts as no answer.

The tests' checker judged an answer by when it came. It now judges by when its request began: one that began before a final state was told may be answered with what was true then, as with the state service's own reads; two different final states are still broken whenever they come. Everything else is checked as before.

--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -1,7 +1,14 @@
-"""What users may be told of a job: the one place that every answer about a state comes from."""
+"""What users may be told of a job: the one place that every answer about a state comes from.
+
+An answer never goes back: once any node has told a final state of a job, no answer to a request
+that began later, at any node, is another one. So a state that is not final is told only with a
+proof that no final state can have been told before the request came in; what a node merely
+remembers is none. Final states are told once they are committed, and may be remembered.
+"""
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
@@ -16,10 +23,6 @@
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
 
-#: a state of a job as told to a user: state, done, running
-State = tuple[str, int | None, int | None]
-UNKNOWN: State = ("unknown", None, None)
-
 #: time for another controller to answer a query, within the 2 s that a user waits; what is left
 #: of them is for the state service
 QUERY_PEER_S = 0.6
@@ -27,89 +30,153 @@
 REMEMBERED = 20_000
 
 
+class JobState(enum.StrEnum):
+    """State of a job as users are told it."""
+
+    #: nobody submitted it
+    UNKNOWN = "unknown"
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = (JobState.DONE, JobState.CANCELLED)
+
+
+class JobStatus(msgspec.Struct, frozen=True, array_like=True):
+    """What users are told of a job: its state, and for display its tasks done and running."""
+
+    state: JobState
+    done: int | None = None
+    running: int | None = None
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job is over for good."""
+        return self.state in FINAL_STATES
+
+
+UNKNOWN = JobStatus(JobState.UNKNOWN)
+
+
+class Proof(enum.Enum):
+    """Why a status is not older than anything that was told before the request came in."""
+
+    #: the owner of the job's manager part acts, and no change of the record that it sent is on
+    #: its way or in doubt: it alone can commit a final state
+    MANAGER = enum.auto()
+    #: a read of the state service, sent after the request came in
+    READ = enum.auto()
+    #: another node had such a proof when it was asked, after the request came in
+    PEER = enum.auto()
+
+
+class ProvenStatus(msgspec.Struct, frozen=True):
+    """A status that is not final, with its proof."""
+
+    status: JobStatus
+    proof: Proof
+
+
 class Answers:
     """What one node may tell of jobs."""
 
     def __init__(self, c: Controller) -> None:
         self.c = c
-        self.finals: OrderedDict[str, str] = OrderedDict()
+        self.finals: OrderedDict[str, JobState] = OrderedDict()
         state = c.settings.cluster.state
         self.lookups = Lookups(c.runner, self, state.rps / len(c.settings.nodes))
 
-    def final(self, job: str, state: str) -> None:
+    def final(self, job: str, state: JobState) -> None:
         """Remember a job's final state."""
         self.finals[job] = state
         while len(self.finals) > REMEMBERED:
             self.finals.popitem(last=False)
 
-    def may_tell(self, job: str, state: State | None) -> State | None:
-        """What may be told of a job that was found to be in a state; None when nothing may be.
+    def may_tell(self, job: str, found: ProvenStatus | None) -> JobStatus | None:
+        """What may be told of a job that was found in a status; None when nothing may be.
 
         Every answer to a user, whatever the request, passes here last. Between the commit of a
         cancel and its confirmation neither "cancelled" nor what was before is told: another node
         may have told the one already, and the other is not so yet.
         """
         if job in self.finals:
-            return (self.finals[job], None, None)
+            return JobStatus(self.finals[job])
         if self.c.cancels.known(job):
-            return ("cancelled", None, None) if self.c.cancels.confirmed(job) else None
-        return state
+            return JobStatus(JobState.CANCELLED) if self.c.cancels.confirmed(job) else None
+        return None if found is None else found.status
 
-    def local(self, job: str) -> list[Any] | None:
-        """The state of a job if this node may tell it."""
-        state = self.may_tell(job, self._managed_state(job))
-        return None if state is None else list(state)
+    def local(self, job: str) -> JobStatus | None:
+        """The status of a job if this node may tell it from memory."""
+        return self.may_tell(job, self._managed_status(job))
 
-    def _managed_state(self, job: str) -> State | None:
+    def _managed_status(self, job: str) -> ProvenStatus | None:
         c = self.c
-        rec = c.view.jobs.get(job)
-        mj = c.jobs.managed.get(job)
-        if rec is None or mj is None or mj.doubt or not c.acts(mj.part):
+        record = c.view.jobs.get(job)
+        managed = c.jobs.managed.get(job)
+        if record is None or managed is None or not c.acts(managed.part):
+            return None
+        if not managed.is_settled:
+            # The end may be committed already, and others may have told it.
             return None
-        done = running = 0
-        for r in mj.reports.values():
-            done += r.done
-            running += r.running
-        return ("running" if running or done else "queued", min(done, rec.spec.tasks), running)
+        done = min(managed.tasks_done, record.spec.tasks)
+        running = managed.tasks_running
+        state = JobState.RUNNING if running or done else JobState.QUEUED
+        return ProvenStatus(JobStatus(state, done, running), Proof.MANAGER)
 
     def lookup(self, job: str) -> Step:
-        """The state of any job: UNKNOWN, or None when it cannot be told now."""
+        """The status of any job: UNKNOWN, or None when it cannot be told now."""
         local = self.local(job)
         if local is not None:
-            return tuple(local)
+            return local
         return (yield from self.lookups.find(job))
 
     def search(self, job: str) -> Step:
-        """The state of a job that this node does not manage, from its manager or a fresh read."""
+        """The status of a job that this node does not manage, from its manager or a fresh read."""
         c = self.c
-        rec = c.view.jobs.get(job)
+        record = c.view.jobs.get(job)
         c.cancels.carry(job)
-        if rec is not None:
-            owner = c.owner(rec.manager)
+        if record is not None:
+            owner = c.owner(record.manager)
             if owner is not None and owner != c.node and not c.cut_off():
-                got = yield PeerCall(owner, "query", [job], QUERY_PEER_S)
-                if isinstance(got, list) and len(got) == 3:
-                    if got[0] in ("done", "cancelled"):
-                        self.final(job, got[0])
-                    told = self.may_tell(job, (str(got[0]), got[1], got[2]))
-                    if told is not None:
-                        return told
+                answer = yield PeerCall(owner, "query", [job], QUERY_PEER_S)
+                told = self._take_answer(job, answer)
+                if told is not None:
+                    return told
         return (yield from self.lookups.read(job))
 
+    def _take_answer(self, job: str, answer: Any) -> JobStatus | None:
+        """Take in what another node said of a job when it was asked."""
+        try:
+            status = msgspec.convert(answer, JobStatus)
+        except msgspec.ValidationError:
+            return None
+        if status.state is JobState.UNKNOWN:
+            return None
+        if status.is_final:
+            self.final(job, status.state)
+        return self.may_tell(job, ProvenStatus(status, Proof.PEER))
+
     def fresh(self, job: str, lane: int = ACCEPT) -> Step:
-        """A job's state from a fresh read: UNKNOWN, or None when it cannot be told now."""
+        """A job's status from a fresh read: UNKNOWN, or None when it cannot be told now."""
         c = self.c
         found = yield from self.read(job, lane)
         if found is None or found == UNKNOWN:
             return found
-        mj = c.jobs.managed.get(job)
-        done = sum(x.done for x in mj.reports.values()) if mj is not None else 0
-        return self.may_tell(job, ("running", done, 0) if done else ("queued", 0, 0))
+        if found.state is JobState.CANCELLED and not c.cancels.known(job):
+            # The record was read before the job ended, and the view is past its end: its entry
+            # is forgotten, and its final state is not read yet.
+            return self.may_tell(job, None)
+        managed = c.jobs.managed.get(job)
+        done = managed.tasks_done if managed is not None else 0
+        state = JobState.RUNNING if done else JobState.QUEUED
+        return self.may_tell(job, ProvenStatus(JobStatus(state, done, 0), Proof.READ))
 
     def read(self, job: str, lane: int = ACCEPT) -> Step:
         """Read a job's record or final state afresh.
 
-        Returns the state as kept, UNKNOWN, or None when it could not be read. What is read
+        Returns the status as kept, UNKNOWN, or None when it could not be read. What is read
         is taken into the view; whether it may be told is for the caller to ask.
         """
         c = self.c
@@ -119,16 +186,18 @@
         if r.status == 200:
             c.view.take_in(keys.JOBS + job, r.value, r.version)
             c.sync()
-            rec = msgspec.convert(r.value, JobRecord)
-            return ("cancelled" if rec.cancelled else "queued", None, None)
+            record = msgspec.convert(r.value, JobRecord)
+            return JobStatus(JobState.CANCELLED if record.cancelled else JobState.QUEUED)
         if r.status != 404:
             return None
+        c.view.take_absence(keys.JOBS + job, r.rev)
+        c.sync()
         # In this order: a job that ends between the two reads moves from the first key to the
         # second.
         f: StateResult = yield Get(keys.FINALS + job, lane)
-        if f.status == 200 and f.value in ("done", "cancelled"):
-            self.final(job, f.value)
-            return (f.value, None, None)
+        if f.status == 200 and f.value in FINAL_STATES:
+            self.final(job, JobState(f.value))
+            return JobStatus(JobState(f.value))
         return UNKNOWN if f.status == 404 else None
 
     def refresh(self, job: str) -> Step:
--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -198,7 +198,7 @@
                     if got.status == 200:
                         c.view.take_in(key, got.value, got.version)
                     elif got.status == 404:
-                        c.view.drop(key)
+                        c.view.take_absence(key, got.rev)
                     c.sync()
                 if granted is not None:
                     # Tried again while it holds: what may still come is tied to it too.
@@ -398,7 +398,7 @@
                 c.sync()
                 return
             if r.status == 404:
-                c.view.drop(key)
+                c.view.take_absence(key, r.rev)
                 c.sync()
                 return
             yield Sleep(0.3)
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -628,7 +628,7 @@
         answer: Any = None
         try:
             if tag == "query":
-                answer = self.answers.local(str(args[0]))
+                answer = msgspec.to_builtins(self.answers.local(str(args[0])))
             elif tag == "cancel":
                 answer = yield from self.jobs.cancel_here(str(args[0]))
             elif tag == "apply":
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -13,7 +13,7 @@
 from marblestair.core import controller as api
 from marblestair.core import keys, split
 from marblestair.core.admission import Stage
-from marblestair.core.answers import UNKNOWN, State
+from marblestair.core.answers import FINAL_STATES, UNKNOWN, JobState, JobStatus
 from marblestair.core.calls import (
     ACCEPT,
     FINAL,
@@ -24,7 +24,7 @@
     StateResult,
 )
 from marblestair.core.flow import Flow, Step
-from marblestair.core.manager import ServerManager
+from marblestair.core.managed import ManagedJob, PartReport
 from marblestair.core.migrate import reserve
 from marblestair.core.model import DESCRIPTION, GANG, JobRecord, JobSpec, too_large
 from marblestair.core.part import Part
@@ -43,43 +43,12 @@
 SETTLE_S = 1.0
 
 
-class PartReport(msgspec.Struct, array_like=True):
-    """What the owner of a part last told the manager about its slice of a job."""
-
-    job: str
-    part: int
-    term: int
-    done: int
-    running: int
-    #: tasks on machines or perhaps so; -1 while that is not known
-    placed: int
-    size: int
-    #: the owner has applied the job's cancel
-    over: bool = False
-
-
-class Managed:
-    """A job whose ServerManager runs here."""
-
-    def __init__(self, job: str, rec: JobRecord) -> None:
-        self.job = job
-        self.part = rec.manager
-        self.locks = ServerManager({int(p) for p in rec.slices})
-        self.reports: dict[int, PartReport] = {}
-        self.want_cancel = False
-        self.editing = False
-        #: a change of the slices is being committed
-        self.moving = False
-        #: a change of the record was sent and its fate is unknown: nothing is told meanwhile
-        self.doubt = False
-
-
 class Jobs:
     """All jobs, as far as this node answers for them."""
 
     def __init__(self, c: Controller) -> None:
         self.c = c
-        self.managed: dict[str, Managed] = {}
+        self.managed: dict[str, ManagedJob] = {}
         self._told: dict[tuple[int, str], tuple[float, list[Any]]] = {}
         limits = c.settings.cluster.state
         n = len(c.settings.nodes)
@@ -175,7 +144,7 @@
                     f"accepted {job}: {spec.kind} of {spec.cls} for {spec.team}, tasks by part"
                     f" {parts}{', within its guarantee' if job in c.guaranteed else ''}",
                 )
-                return 201, ("queued", 0, 0), "", 0
+                return 201, JobStatus(JobState.QUEUED, 0, 0), "", 0
             if r.status in (0, 409):
                 # Perhaps an earlier try of ours, or of the user by way of another node.
                 state = yield from c.answers.fresh(job)
@@ -242,47 +211,52 @@
     def cancel(self, request: int, job: str) -> Flow:
         """POST of a cancel."""
         c = self.c
-        state: State | None = None
+        final: JobState | None = None
         if job not in c.answers.finals and job not in c.view.jobs:
             yield from c.answers.read(job)
         if job in c.answers.finals:
-            state = (c.answers.finals[job], None, None)
+            final = c.answers.finals[job]
         elif c.cut_off():
-            state = None
+            final = None
         elif job in c.view.jobs:
-            owner = c.owner(c.view.jobs[job].manager)
-            got: Any = None
-            if owner == c.node:
-                got = yield from self.cancel_here(job)
-            elif owner is not None:
-                got = yield PeerCall(owner, "cancel", [job], CANCEL_PEER_S)
-            if got not in ("done", "cancelled") and owner != c.node:
-                # The manager is not heard, or cannot write: by way of the record.
-                if not c.cancels.known(job):
-                    yield from c.cancels.enter(job)
-                if (yield from c.cancels.settle(job, SETTLE_S)):
-                    got = "cancelled"
-                elif job in c.answers.finals:
-                    got = c.answers.finals[job]
-            if got in ("done", "cancelled"):
-                state = (str(got), None, None)
+            final = yield from self._cancel_live(job)
         else:
-            state = yield from c.answers.lookup(job)
-            if state == UNKNOWN:
+            status = yield from c.answers.lookup(job)
+            if status == UNKNOWN:
                 self._reply(request, job, 404, UNKNOWN, "no such job", 0)
                 return
-            if state is not None and state[0] not in ("done", "cancelled"):
-                state = None
-        if state is None:
+            if status is not None and status.is_final:
+                final = status.state
+        if final is None:
             self._reply(request, job, 503, UNKNOWN, "not cancelled yet", 1)
         else:
-            self._reply(request, job, 200, (state[0], None, None), "", 0)
+            self._reply(request, job, 200, JobStatus(final), "", 0)
+
+    def _cancel_live(self, job: str) -> Step:
+        """Have a job cancelled whose record is in the view: its final state, or None for now."""
+        c = self.c
+        owner = c.owner(c.view.jobs[job].manager)
+        got: Any = None
+        if owner == c.node:
+            got = yield from self.cancel_here(job)
+        elif owner is not None:
+            got = yield PeerCall(owner, "cancel", [job], CANCEL_PEER_S)
+        if got in FINAL_STATES:
+            return JobState(got)
+        if owner == c.node:
+            return None
+        # The manager is not heard, or cannot write: by way of the record.
+        if not c.cancels.known(job):
+            yield from c.cancels.enter(job)
+        if (yield from c.cancels.settle(job, SETTLE_S)):
+            return JobState.CANCELLED
+        return c.answers.finals.get(job)
 
     def _reply(
-        self, request: int, job: str, status: int, state: State, error: str, retry: int
+        self, request: int, job: str, status: int, told: JobStatus, error: str, retry: int
     ) -> None:
         self.c.replies.append(
-            api.Reply(request, status, job, state[0], state[1], state[2], error, retry)
+            api.Reply(request, status, job, told.state, told.done, told.running, error, retry)
         )
 
     # --- the manager -----------------------------------------------------------------------
@@ -299,7 +273,7 @@
     def _manage(self, job: str, rec: JobRecord) -> None:
         part = self.c.parts.get(rec.manager)
         if part is not None and part.ready and job not in self.managed:
-            self.managed[job] = Managed(job, rec)
+            self.managed[job] = ManagedJob(job, rec)
 
     def changed(self, job: str) -> None:
         """A job's record changed in the view."""
@@ -324,7 +298,7 @@
         if s.parts[r.part].term == r.term:
             mj.reports[r.part] = r
 
-    def _complete(self, mj: Managed, rec: JobRecord) -> bool:
+    def _complete(self, mj: ManagedJob, rec: JobRecord) -> bool:
         """Whether every slice of the record is reported done by its part's present owner."""
         s = self.c.view.split
         if s is None:
@@ -341,7 +315,7 @@
             total += size
         return total == rec.spec.tasks
 
-    def _empty(self, mj: Managed, rec: JobRecord) -> bool:
+    def _empty(self, mj: ManagedJob, rec: JobRecord) -> bool:
         """Whether no part has a task of the job on a machine any more."""
         s = self.c.view.split
         if s is None:
@@ -353,7 +327,7 @@
                 return False
         return True
 
-    def _next(self, mj: Managed, rec: JobRecord) -> str | None:
+    def _next(self, mj: ManagedJob, rec: JobRecord) -> str | None:
         if mj.doubt and not mj.moving:
             # A change is in doubt that nobody follows up: rewrite the record, so that it is
             # either found applied or can never be.
@@ -366,7 +340,7 @@
             return "finish"
         return "cancel" if mj.want_cancel else None
 
-    def _edit(self, mj: Managed) -> Flow:
+    def _edit(self, mj: ManagedJob) -> Flow:
         """Carry a managed job on: finish, cancel (Algorithm 3), bury. One at a time per job."""
         c = self.c
         mj.editing = True
@@ -394,12 +368,11 @@
                     )
                     commit = Commit(guards, [Put(key, new)], [], ACCEPT)
                 else:
-                    final = "done" if action == "finish" else "cancelled"
+                    final = JobState.DONE if action == "finish" else JobState.CANCELLED
                     fkey = keys.FINALS + mj.job
                     commit = Commit([*guards, (fkey, 0)], [Put(fkey, final)], [key], FINAL)
-                r: StateResult = yield commit
+                r: StateResult = yield from mj.change(commit)
                 if r.status == 200:
-                    mj.doubt = False
                     if action in ("finish", "bury"):
                         c.answers.final(mj.job, final)
                     c.view.committed(commit, r.rev)
@@ -409,13 +382,8 @@
                     # owner. Whatever was in doubt is settled by reading it.
                     if (yield from c.answers.refresh(mj.job)):
                         mj.doubt = False
-                        if mj.job in c.answers.finals:
-                            c.view.drop(key)
-                            c.sync()
                     yield Sleep(0.05)
                 else:
-                    if r.status == 0:
-                        mj.doubt = True
                     yield Sleep(0.1 + 0.2 * c.rng.random())
         finally:
             mj.locks.release_exclusive(holder)
@@ -436,7 +404,7 @@
         return True
 
     def cancel_here(self, job: str) -> Step:
-        """Cancel a job managed here: 'cancelled', 'done', or None if it takes too long."""
+        """Cancel a job managed here: its final state, or None if it takes too long."""
         c = self.c
         until = c.now + 3.0
         while c.now < until:
@@ -450,7 +418,7 @@
                 # What cannot be written here another may be able to write.
                 break
             if c.cancels.confirmed(job):
-                return "cancelled"
+                return JobState.CANCELLED
             mj.want_cancel = True
             if not mj.editing:
                 c.spawn(self._edit(mj))
--- /dev/null
+++ b/marblestair/core/managed.py
@@ -0,0 +1,79 @@
+"""A job whose ServerManager runs here: its locks, what its parts report, and its changes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marblestair.core.calls import Commit, StateResult
+from marblestair.core.flow import Step
+from marblestair.core.manager import ServerManager
+from marblestair.core.model import JobRecord
+
+
+class PartReport(msgspec.Struct, array_like=True):
+    """What the owner of a part last told the manager about its slice of a job."""
+
+    job: str
+    part: int
+    term: int
+    done: int
+    running: int
+    #: tasks on machines or perhaps so; -1 while that is not known
+    placed: int
+    size: int
+    #: the owner has applied the job's cancel
+    over: bool = False
+
+
+class ManagedJob:
+    """One job of a part that this node owns."""
+
+    def __init__(self, job: str, record: JobRecord) -> None:
+        self.job = job
+        self.part = record.manager
+        self.locks = ServerManager({int(part) for part in record.slices})
+        self.reports: dict[int, PartReport] = {}
+        self.want_cancel = False
+        self.editing = False
+        #: a change of the slices is being committed
+        self.moving = False
+        #: a change of the record was sent, and whether it was carried out is not known
+        self.doubt = False
+        self._changes_under_way = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the record is surely as this node knows it, but for changes by others.
+
+        A change may be carried out, seen by the other nodes' watches and told by them to users
+        long before its answer is back here. So it counts as unsettled from before it is sent.
+        """
+        return not self.doubt and not self._changes_under_way
+
+    @property
+    def tasks_done(self) -> int:
+        """Tasks done, as the parts last told."""
+        return sum(report.done for report in self.reports.values())
+
+    @property
+    def tasks_running(self) -> int:
+        """Tasks running, as the parts last told."""
+        return sum(report.running for report in self.reports.values())
+
+    def change(self, commit: Commit) -> Step:
+        """Send a change of the record; every change by its manager goes this way.
+
+        On 409 the record has moved on, perhaps by an earlier try: it has to be read again
+        before anything is told from memory, and whoever has read it clears the doubt.
+        """
+        self._changes_under_way += 1
+        try:
+            result: StateResult = yield commit
+        finally:
+            self._changes_under_way -= 1
+        if result.status == 200:
+            # Guarded on the same version, no earlier try can be carried out any more.
+            self.doubt = False
+        elif result.status in (0, 409):
+            self.doubt = True
+        return result
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -489,9 +489,8 @@
             while c.jobs.managed.get(job) is mj and c.acts(mj.part):
                 commit = Commit(guards, [Put(key, new)], [], FINAL)
                 tries += 1
-                r: StateResult = yield commit
+                r: StateResult = yield from mj.change(commit)
                 if r.status == 200:
-                    mj.doubt = False
                     c.view.committed(commit, r.rev)
                     mj.locks.update(holder, source, option, target)
                     mj.reports.pop(source, None)
@@ -507,7 +506,6 @@
                             return [c.view.version(key)]
                         return False
                 elif r.status == 0:
-                    mj.doubt = True
                     result = None
                 elif not mj.doubt and tries > 3:
                     return False
--- a/marblestair/core/view.py
+++ b/marblestair/core/view.py
@@ -14,7 +14,13 @@
 
 
 class View:
-    """The followed keys, each with its version, as of revision ``rev``."""
+    """The followed keys, each with its version, as of revision ``rev``.
+
+    What arrives here may be late: a read that was carried out before a deletion which the watch
+    has passed since, or the answer to a commit whose effect others have already undone. One rule
+    holds for all ways in: nothing older than what is known of its key changes anything, and a
+    key that the view lacks is known not to exist as of ``rev``.
+    """
 
     def __init__(self) -> None:
         self.rev = -1
@@ -25,8 +31,8 @@
         self.machines: dict[str, MachineRecord] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.versions: dict[str, int] = {}
-        #: versions of deletions made by own commits, until the watch has passed them
-        self._graves: dict[str, int] = {}
+        #: revisions at which keys are known not to exist, until ``rev`` has reached them
+        self._absent_at: dict[str, int] = {}
         #: machines that are gone for good; their late reports are ignored
         self.gone: OrderedDict[str, None] = OrderedDict()
         #: jobs, machines and parts changed since they were last taken
@@ -39,45 +45,65 @@
         return self.versions.get(key, 0)
 
     def load(self, items: list[Item], rev: int) -> None:
-        """Replace everything by a fresh listing."""
+        """Replace everything by a fresh listing, whose first page was read at a revision."""
         listed = {i.key for i in items}
         for key in [k for k, v in self.versions.items() if k not in listed and v <= rev]:
             self._set(key, None, rev)
         for i in items:
-            if i.version > max(self.versions.get(i.key, 0), self._graves.get(i.key, 0)):
+            # The listing was read after everything that the watch has returned.
+            if i.version > max(self.version(i.key), self._absent_at.get(i.key, 0)):
                 self._set(i.key, i.value, i.version)
-        self.rev = max(self.rev, rev)
+        self._advance(rev)
 
     def apply(self, events: list[Event], rev: int) -> None:
         """Take in what a watch returned."""
         for e in events:
-            if e.version > max(self.versions.get(e.key, 0), self._graves.get(e.key, 0)):
+            if e.version > max(self.version(e.key), self._absent_at.get(e.key, 0)):
                 self._set(e.key, e.value, e.version)
-        self.rev = max(self.rev, rev)
-        if self._graves:
-            self._graves = {k: v for k, v in self._graves.items() if v > self.rev}
+        self._advance(rev)
 
     def take_in(self, key: str, value: Any, version: int) -> None:
-        """Take in one key that was read afresh."""
-        if version > max(self.versions.get(key, 0), self._graves.get(key, 0)):
+        """Take in one key as a read has found it."""
+        if self._is_news(key, version):
             self._set(key, value, version)
 
-    def drop(self, key: str) -> None:
-        """A key is known to be gone for good."""
+    def take_absence(self, key: str, rev: int) -> None:
+        """Take in that a read at a revision has found no such key."""
+        if rev < self.version(key):
+            return
+        self._note_absence(key, rev)
         if key in self.versions:
-            self._graves[key] = self.versions[key]
-            self._set(key, None, 0)
+            self._set(key, None, rev)
 
     def committed(self, commit: Commit, rev: int) -> None:
-        """Take in an own commit at once, ahead of the watch."""
+        """Take in an own commit, ahead of the watch or behind it."""
         for p in commit.puts:
-            if p.key.startswith(keys.VIEW) and rev > self.versions.get(p.key, 0):
+            if p.key.startswith(keys.VIEW) and self._is_news(p.key, rev):
                 self._set(p.key, msgspec.to_builtins(p.value), rev)
         for k in commit.deletes:
-            if k.startswith(keys.VIEW) and rev > self.versions.get(k, 0):
+            if k.startswith(keys.VIEW) and rev > self.version(k):
+                self._note_absence(k, rev)
                 self._set(k, None, rev)
-                if rev > self.rev:
-                    self._graves[k] = rev
+
+    def _is_news(self, key: str, version: int) -> bool:
+        """Whether a version of a key is newer than what is known of it.
+
+        A deletion leaves no version behind: that of a key which the view lacks must be newer
+        than the view itself. Else a late read, or a late answer to an own commit, would put a
+        deleted record back in, and the watch, already past the deletion, would never remove it.
+        """
+        if key in self.versions:
+            return version > self.versions[key]
+        return version > max(self.rev, self._absent_at.get(key, 0))
+
+    def _note_absence(self, key: str, rev: int) -> None:
+        if rev > self.rev:
+            self._absent_at[key] = max(rev, self._absent_at.get(key, 0))
+
+    def _advance(self, rev: int) -> None:
+        self.rev = max(self.rev, rev)
+        if self._absent_at:
+            self._absent_at = {k: at for k, at in self._absent_at.items() if at > self.rev}
 
     def _set(self, key: str, value: Any, version: int) -> None:
         if value is None:
--- a/marblestair/wire.py
+++ b/marblestair/wire.py
@@ -435,7 +435,11 @@
             return StateResult(200, events=events, rev=int(data["ledger_rev"]))
         if isinstance(op, LeaseGrant) and status == 200:
             return StateResult(200, lease=int(data["tenancy"]))
+        if (isinstance(op, Get) and status == 404) or (isinstance(op, Commit) and status == 200):
+            # Without the revision nobody could tell whether something newer is known already.
+            return StateResult(status, rev=int(data["ledger_rev"]))
         failed = data.get("failed") or []
         return StateResult(status, rev=int(data.get("ledger_rev") or 0), failed=list(failed))
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError, KeyError, TypeError):
-        return StateResult(status if status >= 400 else 0)
+        # It may have been carried out, unless the status alone says that it was not.
+        return StateResult(status if status == 429 or status >= 500 else 0)
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -28,6 +28,12 @@
         self.data: dict[str, tuple[Any, int, int | None]] = {}
         self.log: list[Event] = []
         self.leases: dict[int, list[float]] = {}
+        #: changes that the log keeps; an older watch is refused, and the keys are read again
+        self.log_limit = 10_000
+        #: items in one page of a listing, at the most
+        self.page_limit = 1000
+        #: the latest revision of which the log has lost changes
+        self._lost_rev = 0
         self._next_lease = 1
         self.down = False
         self.refused_nodes: set[str] = set()
@@ -78,8 +84,9 @@
             return StateResult(200, value=value, version=version)
         if isinstance(op, ListKeys):
             found = sorted(k for k in self.data if k.startswith(op.prefix) and k > op.after)
-            items = [Item(k, self.data[k][0], self.data[k][1]) for k in found[: op.limit]]
-            more = len(found) > op.limit
+            limit = min(op.limit, self.page_limit)
+            items = [Item(k, self.data[k][0], self.data[k][1]) for k in found[:limit]]
+            more = len(found) > limit
             return StateResult(200, items=items, more=more, rev=self.rev)
         if isinstance(op, LeaseGrant):
             n = self._next_lease
@@ -141,12 +148,18 @@
                 self.unsafe.append(f"reordered: {k}, request {n} after {newest}")
             self._latest[(k, process)] = max(n, newest)
 
-    def changes(self, prefix: str, rev: int) -> list[Event]:
-        """What a watch from a revision would return."""
-        out = []
+    def changes(self, prefix: str, rev: int) -> StateResult:
+        """What a watch from a revision returns; 410 when the log does not reach back to it."""
+        beyond = len(self.log) - self.log_limit
+        if beyond > 0:
+            self._lost_rev = self.log[beyond - 1].version
+            del self.log[:beyond]
+        if rev < self._lost_rev:
+            return StateResult(410)
+        events: list[Event] = []
         for e in reversed(self.log):
             if e.version <= rev:
                 break
             if e.key.startswith(prefix):
-                out.append(e)
-        return out[::-1]
+                events.append(e)
+        return StateResult(200, events=events[::-1], rev=self.rev)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -345,6 +345,9 @@
         self.broken: list[str] = []
         self.accepted: dict[str, float] = {}
         self.told: dict[str, str] = {}
+        #: job -> the final state that a user was told first, and the place of that answer in the
+        #: order of all requests and such answers
+        self.final_told: dict[str, tuple[str, int]] = {}
         self.cancel_told: dict[str, float] = {}
         self.cancel_asked: set[str] = set()
         self.starts: list[tuple[float, str, int, str, int]] = []
@@ -366,6 +369,11 @@
         self._beside: dict[str, float] = {}
         #: how much later a commit of a node is carried out, unanswered; None: at once
         self.late: Callable[[str, Commit], float | None] = lambda node, commit: None
+        #: how much later the answer to what a node asked of the state service arrives, though
+        #: it was carried out at once; None: soon. What exceeds the node's patience never does.
+        self.answer_late: Callable[[str, Any], float | None] = lambda node, call: None
+        #: how long what a node's watch returns is on its way
+        self.watch_lag: dict[str, float] = {}
         #: messages between controllers that get lost, by their tag
         self.lost: set[str] = set()
         #: nodes that stand still while time passes, and until when
@@ -597,10 +605,10 @@
                     return
                 down = self.state.down or name in self.state.refused_nodes
                 if not down:
-                    events = self.state.changes(call.prefix, call.rev)
-                    if events or self.now >= end:
-                        r = StateResult(200, events=events, rev=self.state.rev)
-                        self.send("state", name, lambda: answer(r))
+                    r = self.state.changes(call.prefix, call.rev)
+                    if r.events or r.status != 200 or self.now >= end:
+                        lag = self.watch_lag.get(name, 0.0)
+                        self.at(lag, lambda: self.send("state", name, lambda: answer(r)))
                         return
                 self.at(0.02, poll)
 
@@ -619,7 +627,8 @@
             r = self.state.execute(call, name, self.now, order)
             if self.rng.random() < self.lose_answers:
                 return
-            self.send("state", name, lambda: answer(r))
+            delay = self.answer_late(name, call) or 0.0
+            self.at(delay, lambda: self.send("state", name, lambda: answer(r)))
 
         if frozenset((name, "state")) in self.cut:
             self.at(0.3, lambda: answer(StateResult(NOT_SENT)))
@@ -755,7 +764,7 @@
 
         def done(r: Any) -> None:
             out.append(r)
-            self._judge(what, arg, r)
+            self._judge(what, arg, r, n)
 
         self._waiters[n] = done
 
@@ -768,7 +777,10 @@
         deliver()
         return out
 
-    def _judge(self, what: str, arg: Any, r: Any) -> None:
+    def _judge(self, what: str, arg: Any, r: Any, begun: int | None = None) -> None:
+        """Judge an answer to a request that began at a place in the order of all requests."""
+        if begun is None:
+            begun = next(self._ids)
         job = arg.id if what == "submit" else arg
         if what == "submit":
             if r.status in (200, 201):
@@ -781,9 +793,7 @@
             if job not in self.specs:
                 self.broken.append(f"invented: {job}")
                 return
-            old = self.told.get(job)
-            if old in ("done", "cancelled") and r.state != old:
-                self.broken.append(f"went_back: {job} from {old} to {r.state}")
+            self._judge_order(job, r.state, begun)
             if r.state == "cancelled" and job not in self.cancel_asked:
                 self.broken.append(f"went_back: {job} cancelled by nobody")
             if r.state == "done":
@@ -794,6 +804,19 @@
                 self.cancel_told.setdefault(job, self.now)
             self.told[job] = r.state
 
+    def _judge_order(self, job: str, state: str, begun: int) -> None:
+        """Judge that no answer goes back.
+
+        What began before a final state was told may be answered with what was true when it
+        began; two final states may never differ.
+        """
+        final, since = self.final_told.get(job, ("", 0))
+        is_final = state in ("done", "cancelled")
+        if final and state != final and (begun > since or is_final):
+            self.broken.append(f"went_back: {job} from {final} to {state}")
+        if is_final and not final:
+            self.final_told[job] = (state, next(self._ids))
+
     def submit(self, s: JobSpec, node: str | None = None) -> str:
         """Submit as a user does, with retries, until accepted or refused for good."""
         self.specs[s.id] = s
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,7 +11,7 @@
 from marblestair.core import keys
 from marblestair.core.calls import Commit
 from marblestair.core.controller import Controller
-from marblestair.core.jobs import PartReport
+from marblestair.core.managed import PartReport
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.planning import plan
 from marblestair.core.renting import Have, Load, Tuning
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,118 @@
+"""The view of the state service never goes back, in whatever order reads and answers arrive."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from marblestair.core import keys
+from marblestair.core.calls import Commit, Event, Item, Put
+from marblestair.core.view import View
+
+NODES = [keys.NODES + name for name in ("a", "b", "c")]
+
+
+class History:
+    """Everything that was ever committed, and what reads of each revision return."""
+
+    def __init__(self) -> None:
+        self.rev = 0
+        self.log: list[Event] = []
+        #: key -> (revision, version) of each change; a version of 0 is a deletion
+        self.states: dict[str, list[tuple[int, int]]] = {key: [(0, 0)] for key in NODES}
+
+    def change(self, key: str, delete: bool) -> None:
+        self.rev += 1
+        self.log.append(Event(key, None if delete else self.rev, self.rev))
+        self.states[key].append((self.rev, 0 if delete else self.rev))
+
+    def version(self, key: str) -> int:
+        return self.states[key][-1][1]
+
+    def events(self, after: int) -> list[Event]:
+        return [e for e in self.log if e.version > after]
+
+
+class Late:
+    """A view, and what is still on its way to it."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.history = History()
+        self.view = View()
+        self.on_their_way: list[Callable[[], None]] = []
+        #: key -> place in its states before which the view may not fall back
+        self.least = dict.fromkeys(NODES, 0)
+
+    def commit(self) -> None:
+        """Somebody changes a key; if it is this node, its answer comes later."""
+        key = self.rng.choice(NODES)
+        exists = self.history.version(key) > 0
+        delete = exists and self.rng.random() < 0.5
+        self.history.change(key, delete)
+        rev = self.history.rev
+        own = Commit([], [] if delete else [Put(key, rev)], [key] if delete else [])
+        if self.rng.random() < 0.5:
+            self.on_their_way.append(lambda: self.view.committed(own, rev))
+
+    def read(self) -> None:
+        """A key is read; the answer comes later."""
+        key = self.rng.choice(NODES)
+        version, rev = self.history.version(key), self.history.rev
+        if version:
+            self.on_their_way.append(lambda: self.view.take_in(key, version, version))
+        else:
+            self.on_their_way.append(lambda: self.view.take_absence(key, rev))
+
+    def arrive(self) -> None:
+        """Something that was on its way arrives, in any order."""
+        if self.on_their_way:
+            self.on_their_way.pop(self.rng.randrange(len(self.on_their_way)))()
+
+    def watch(self) -> None:
+        self.view.apply(self.history.events(self.view.rev), self.history.rev)
+
+    def load(self) -> None:
+        """The log was too short: all is listed, page by page, with changes in between."""
+        first_rev = self.history.rev
+        items: list[Item] = []
+        for key in NODES:
+            version = self.history.version(key)
+            if version:
+                items.append(Item(key, version, version))
+            for _ in range(self.rng.randrange(3)):
+                self.rng.choice([self.commit, self.read, self.arrive])()
+                self.check()
+        self.view.load(items, first_rev)
+
+    def check(self) -> None:
+        """No key may fall back behind what was known of it, nor behind the view's revision."""
+        for key, states in self.history.states.items():
+            known = [i for i, (rev, _) in enumerate(states) if rev <= self.view.rev]
+            least = max(self.least[key], known[-1] if known else 0)
+            shown = self.view.version(key)
+            places = [i for i in range(least, len(states)) if states[i][1] == shown]
+            assert places, (key, states, shown, self.view.rev)
+            self.least[key] = places[0]
+
+
+@pytest.mark.parametrize("batch", range(8))
+def test_nothing_that_arrives_late_makes_the_view_older(batch: int) -> None:
+    for seed in range(100):
+        late = Late(1000 * batch + seed)
+        late.load()
+        steps: list[Callable[[], Any]] = [late.commit, late.read, late.arrive, late.arrive]
+        for _ in range(40):
+            chance = late.rng.random()
+            step = late.load if chance < 0.05 else late.watch if chance < 0.25 else None
+            (step or late.rng.choice(steps))()
+            late.check()
+        while late.on_their_way:
+            late.arrive()
+            late.check()
+        late.watch()
+        now = {key: late.history.version(key) for key in NODES}
+        assert {key: late.view.version(key) for key in NODES} == now
