Listings in pages are taken in page by page; each guard against old knowledge has its test

A listing of several pages was taken as of its first page. A key that a later page did not hold could be put back in by a late answer from in between, until the watch passed it. View.load now keeps the range and revision of each page until the watch has reached it. A seeded test delivers listings, watches, reads and answers to own commits in every order, and judges each key.

--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -110,30 +110,31 @@
         self.c.runner.keep(self._keep_promises)
 
     def _load(self) -> Step:
+        """Read all that is followed, for as long as it takes."""
         c = self.c
         while True:
-            items = []
-            after, first_rev = "", None
             sent = c.now
-            while True:
-                r: StateResult = yield ListKeys(keys.VIEW, after, 1000, LEASE)
-                if r.status != 200:
-                    break
-                if first_rev is None:
-                    # Changes after the first page come by the watch; versions settle overlaps.
-                    first_rev = r.rev
-                items += r.items
-                if not r.more or not r.items:
-                    break
-                after = r.items[-1].key
-            if r.status == 200 and first_rev is not None:
-                c.view.load(items, first_rev)
-                c.view.rev = first_rev if c.view.rev < first_rev else c.view.rev
+            pages = yield from self._list_pages()
+            if pages is not None:
+                c.view.load(pages)
                 c.view.fresh_at = sent
                 c.sync()
                 return
             yield Sleep(0.3 + 0.4 * c.rng.random())
 
+    def _list_pages(self) -> Step:
+        """All pages of what is followed; None when one of them could not be read."""
+        pages: list[StateResult] = []
+        after = ""
+        while True:
+            page: StateResult = yield ListKeys(keys.VIEW, after, 1000, LEASE)
+            if page.status != 200:
+                return None
+            pages.append(page)
+            if not page.more or not page.items:
+                return pages
+            after = page.items[-1].key
+
     def _follow(self) -> Flow:
         c = self.c
         wait_ms = int(self.ttl * 500)
--- a/marblestair/core/managed.py
+++ b/marblestair/core/managed.py
@@ -63,8 +63,8 @@
     def change(self, commit: Commit) -> Step:
         """Send a change of the record; every change by its manager goes this way.
 
-        On 409 the record has moved on, perhaps by an earlier try: it has to be read again
-        before anything is told from memory, and whoever has read it clears the doubt.
+        Without an answer it may have been carried out, or may yet be. Such a doubt lasts until a
+        later change succeeds, or until the record has been read again after a 409.
         """
         self._changes_under_way += 1
         try:
@@ -74,6 +74,6 @@
         if result.status == 200:
             # Guarded on the same version, no earlier try can be carried out any more.
             self.doubt = False
-        elif result.status in (0, 409):
+        elif result.status == 0:
             self.doubt = True
         return result
--- a/marblestair/core/view.py
+++ b/marblestair/core/view.py
@@ -8,11 +8,24 @@
 import msgspec
 
 from marblestair.core import keys
-from marblestair.core.calls import Commit, Event, Item
+from marblestair.core.calls import Commit, Event, StateResult
 from marblestair.core.model import JobRecord
 from marblestair.core.split import MachineRecord, SplitRecord
 
 
+class ListedRange(msgspec.Struct, frozen=True):
+    """The keys that one page of a listing tells of, as of its revision."""
+
+    after: str
+    #: the last of them; None when the page reaches to the end
+    last: str | None
+    rev: int
+
+    def covers(self, key: str) -> bool:
+        """Whether the page would hold a key if it existed."""
+        return key > self.after and (self.last is None or key <= self.last)
+
+
 class View:
     """The followed keys, each with its version, as of revision ``rev``.
 
@@ -33,6 +46,8 @@
         self.versions: dict[str, int] = {}
         #: revisions at which keys are known not to exist, until ``rev`` has reached them
         self._absent_at: dict[str, int] = {}
+        #: pages of the latest listing, until ``rev`` has reached them
+        self._ranges: list[ListedRange] = []
         #: machines that are gone for good; their late reports are ignored
         self.gone: OrderedDict[str, None] = OrderedDict()
         #: jobs, machines and parts changed since they were last taken
@@ -44,21 +59,32 @@
         """Version of a key as known here; 0 when it does not exist."""
         return self.versions.get(key, 0)
 
-    def load(self, items: list[Item], rev: int) -> None:
-        """Replace everything by a fresh listing, whose first page was read at a revision."""
-        listed = {i.key for i in items}
-        for key in [k for k, v in self.versions.items() if k not in listed and v <= rev]:
-            self._set(key, None, rev)
-        for i in items:
-            # The listing was read after everything that the watch has returned.
-            if i.version > max(self.version(i.key), self._absent_at.get(i.key, 0)):
-                self._set(i.key, i.value, i.version)
-        self._advance(rev)
+    def load(self, pages: list[StateResult]) -> None:
+        """Replace everything by a fresh listing, each page of which has a revision of its own.
+
+        The view is then as of the first page; later changes come by the watch from there on.
+        """
+        after = ""
+        ranges: list[ListedRange] = []
+        for page in pages:
+            last = page.items[-1].key if page.more and page.items else None
+            ranges.append(ListedRange(after, last, page.rev))
+            listed = {item.key for item in page.items}
+            for key in [k for k in self.versions if ranges[-1].covers(k) and k not in listed]:
+                if self.versions[key] <= page.rev:
+                    self._set(key, None, page.rev)
+            for item in page.items:
+                # Read after everything that the watch has returned, so its revision is no bar.
+                if item.version > max(self.version(item.key), self._absent_since(item.key)):
+                    self._set(item.key, item.value, item.version)
+            after = last or ""
+        self._ranges = ranges
+        self._advance(pages[0].rev)
 
     def apply(self, events: list[Event], rev: int) -> None:
         """Take in what a watch returned."""
         for e in events:
-            if e.version > max(self.version(e.key), self._absent_at.get(e.key, 0)):
+            if e.version > max(self.version(e.key), self._absent_since(e.key)):
                 self._set(e.key, e.value, e.version)
         self._advance(rev)
 
@@ -94,16 +120,24 @@
         """
         if key in self.versions:
             return version > self.versions[key]
-        return version > max(self.rev, self._absent_at.get(key, 0))
+        return version > max(self.rev, self._absent_since(key))
+
+    def _absent_since(self, key: str) -> int:
+        """Revision beyond ``rev`` at which a key that the view lacks is known not to exist."""
+        listed = max((r.rev for r in self._ranges if r.covers(key)), default=0)
+        return max(listed, self._absent_at.get(key, 0))
 
     def _note_absence(self, key: str, rev: int) -> None:
         if rev > self.rev:
             self._absent_at[key] = max(rev, self._absent_at.get(key, 0))
 
     def _advance(self, rev: int) -> None:
+        """The view is as of a revision: what is known beyond it alone is kept."""
         self.rev = max(self.rev, rev)
         if self._absent_at:
             self._absent_at = {k: at for k, at in self._absent_at.items() if at > self.rev}
+        if self._ranges:
+            self._ranges = [r for r in self._ranges if r.rev > self.rev]
 
     def _set(self, key: str, value: Any, version: int) -> None:
         if value is None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,7 +8,8 @@
 
 from marblestair.core import keys
 from marblestair.core.answers import JobState, JobStatus
-from marblestair.core.calls import Commit, Get
+from marblestair.core.calls import Commit, Event, Get, StateResult
+from marblestair.core.flow import Step
 from tests.fakes.world import World, spec
 from tests.test_meetings import manager, running
 from tests.test_stories import owner, warm
@@ -118,22 +119,49 @@
     assert not w.broken, w.broken[:3]
 
 
+def step_with(step: Step, result: StateResult) -> Any:
+    """Answer the one call that a step makes; what the step returns."""
+    next(step)
+    with pytest.raises(StopIteration) as end:
+        step.send(result)
+    return end.value.value
+
+
 def test_a_cancelled_record_that_was_read_late_is_not_told_as_waiting() -> None:
-    # Read while the cancel was confirmed already, answered after the view has passed the burial.
+    # Read while the cancel was confirmed already, answered after the view has passed the burial:
+    # the view knows neither the record nor the entry any more.
     w = warm(14)
     job = w.submit(spec(1, tasks=3, estimate_s=200.0))
-    w.run(12.0)
-    home = manager(w, job)
-    reader = next(x for x in w.node_names if x != home)
-    w.lost.add("query")
-    w.answer_late = lambda node, call: 1.1 if node == reader and reads(call, job) else None
-    w.cancel_asked.add(job)
-    w.ask(home, "cancel", job)
-    assert w.until(lambda: job in w.final_told, 5.0)
-    ask_everywhere(w, job, 4.0, every=0.01)
-    assert keys.FINALS + job in w.state.data
-    assert w.state_of(job, reader) == "cancelled"
-    assert not w.broken, w.broken[:3]
+    core = running(w, next(x for x in w.node_names if x != manager(w, job)))
+    record, version, _ = w.state.data[keys.JOBS + job]
+    cancelled = [*record[:3], [["cancel", 1]]]
+    rev = w.state.rev + 2
+    core.view.apply([Event(keys.JOBS + job, None, rev)], rev)
+    core.sync()
+    late = StateResult(200, value=cancelled, version=version + 1)
+    assert step_with(core.answers.fresh(job), late) is None
+
+
+def test_a_read_that_finds_no_record_is_ahead_of_the_watch() -> None:
+    w = warm(17)
+    job = w.submit(spec(1, tasks=3, estimate_s=200.0))
+    core = running(w, manager(w, job))
+    record, version, _ = w.state.data[keys.JOBS + job]
+    reading = core.answers.read(job)
+    next(reading)
+    reading.send(StateResult(404, rev=version + 5))
+    assert job not in core.view.jobs
+    # What was read or committed before that comes too late.
+    core.view.take_in(keys.JOBS + job, record, version + 4)
+    core.view.apply([Event(keys.JOBS + job, record, version + 3)], version + 3)
+    assert job not in core.view.jobs
+    # A read that was carried out before the acceptance removes nothing either.
+    core.view.take_in(keys.JOBS + job, record, version + 6)
+    step_with(core.answers.read(job), StateResult(0))
+    late = core.answers.read(job)
+    next(late)
+    late.send(StateResult(404, rev=version + 5))
+    assert job in core.view.jobs
 
 
 @pytest.mark.parametrize("answer", [None, 7, ["done"], ["lost", 1, 1], ["unknown", None, None]])
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -9,7 +9,7 @@
 import pytest
 
 from marblestair.core import keys
-from marblestair.core.calls import Commit, Event, Item, Put
+from marblestair.core.calls import Commit, Event, Item, Put, StateResult
 from marblestair.core.view import View
 
 NODES = [keys.NODES + name for name in ("a", "b", "c")]
@@ -73,20 +73,28 @@
             self.on_their_way.pop(self.rng.randrange(len(self.on_their_way)))()
 
     def watch(self) -> None:
-        self.view.apply(self.history.events(self.view.rev), self.history.rev)
+        """The one watch is answered; other things may arrive before its answer does."""
+        events, rev = self.history.events(self.view.rev), self.history.rev
+        for _ in range(self.rng.randrange(4)):
+            self.rng.choice([self.commit, self.read, self.arrive])()
+            self.check()
+        self.view.apply(events, rev)
 
     def load(self) -> None:
         """The log was too short: all is listed, page by page, with changes in between."""
-        first_rev = self.history.rev
-        items: list[Item] = []
-        for key in NODES:
-            version = self.history.version(key)
-            if version:
-                items.append(Item(key, version, version))
-            for _ in range(self.rng.randrange(3)):
+        pages = [self.page("")]
+        while pages[-1].more:
+            for _ in range(self.rng.randrange(4)):
                 self.rng.choice([self.commit, self.read, self.arrive])()
                 self.check()
-        self.view.load(items, first_rev)
+            pages.append(self.page(pages[-1].items[-1].key))
+        self.view.load(pages)
+
+    def page(self, after: str) -> StateResult:
+        """One page of a listing, of one key."""
+        found = [key for key in NODES if key > after and self.history.version(key)]
+        items = [Item(key, self.history.version(key), self.history.version(key)) for key in found]
+        return StateResult(200, items=items[:1], more=len(found) > 1, rev=self.history.rev)
 
     def check(self) -> None:
         """No key may fall back behind what was known of it, nor behind the view's revision."""
@@ -113,6 +121,6 @@
         while late.on_their_way:
             late.arrive()
             late.check()
-        late.watch()
+        late.view.apply(late.history.events(late.view.rev), late.history.rev)
         now = {key: late.history.version(key) for key in NODES}
         assert {key: late.view.version(key) for key in NODES} == now
