--- /dev/null
+++ b/marblestair/core/acceptance.py
@@ -0,0 +1,230 @@
+"""Acceptance of jobs: what can never run is refused, the rest is cut into slices and recorded.
+
+A job is accepted by the commit of its record, guarded on the absence of both its record and its
+final state. So an id is accepted once, whoever is asked and however often.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marblestair.core import keys, split
+from marblestair.core.admission import Stage
+from marblestair.core.answers import UNKNOWN, JobState, JobStatus
+from marblestair.core.calls import ACCEPT, Commit, Put, StateResult
+from marblestair.core.flow import Step
+from marblestair.core.migrate import reserve
+from marblestair.core.model import DESCRIPTION, GANG, JobRecord, JobSpec, too_large
+from marblestair.core.placement import gang_fits
+from marblestair.core.shares import refusal
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+    from marblestair.core.messages import Gossip
+
+#: time for which what an owner told of its part is recent enough to accept jobs into it
+GOSSIP_FRESH_S = 4.0
+#: commits tried for one submission
+MOST_TRIES = 3
+#: seconds after which a user who was refused for now may come back: usually, without a part to
+#: accept into, and when the state service refuses the record itself
+RETRY_S, NO_PART_RETRY_S, REFUSED_RETRY_S = 1, 2, 5
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What a user's request is answered with."""
+
+    http_status: int
+    status: JobStatus = UNKNOWN
+    error: str = ""
+    retry_after_s: int = 0
+
+
+class Acceptance:
+    """Submissions at one node."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        state = controller.settings.cluster.state
+        # Submissions under way at once: about a second's worth of this node's writes.
+        per_second = max(1.0, state.write_rps / len(controller.settings.nodes) / 2)
+        self._stage = Stage(max(2, round(per_second)), per_second)
+
+    def submit(self, spec: JobSpec) -> Step:
+        """Accept or refuse a job, or tell the state of one that is known; an Outcome."""
+        controller = self._controller
+        if spec.id in controller.answers.finals or spec.id in controller.view.jobs:
+            return (yield from self._known(spec.id))
+        if not controller.types:
+            return Outcome(503, UNKNOWN, "machine types are not known yet", RETRY_S)
+        reason = self._refusal(spec)
+        if reason is not None:
+            return (yield from self._refused(spec, reason))
+        manager = self._manager_part()
+        if manager is None:
+            return Outcome(503, UNKNOWN, "no part to accept into", NO_PART_RETRY_S)
+        if not self._stage.enter():
+            return Outcome(429, UNKNOWN, "too many submissions", self._stage.retry_after())
+        try:
+            return (yield from self._accept(spec, manager))
+        finally:
+            self._stage.leave()
+
+    def _known(self, job: str) -> Step:
+        status: JobStatus | None = yield from self._controller.answers.lookup(job)
+        if status is None or status == UNKNOWN:
+            return Outcome(503, UNKNOWN, "state not available", RETRY_S)
+        return Outcome(200, status)
+
+    def _refusal(self, spec: JobSpec) -> str | None:
+        """Why a job can never run; None if it can."""
+        controller = self._controller
+        reason = refusal(spec, controller.teams, list(controller.types.values()))
+        if reason is not None:
+            return reason
+        value_kb = controller.settings.cluster.state.value_kb
+        if too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION):
+            return "the description is larger than what can be kept"
+        return None
+
+    def _refused(self, spec: JobSpec, reason: str) -> Step:
+        """Refuse a job for good, unless it was accepted before: then it is known."""
+        status: JobStatus | None = yield from self._controller.answers.lookup(spec.id)
+        if status is None:
+            return Outcome(503, UNKNOWN, "state service unavailable", RETRY_S)
+        if status != UNKNOWN:
+            return Outcome(200, status)
+        self._controller.log("info", f"refused {spec.id} of {spec.cls} for {spec.team}: {reason}")
+        return Outcome(422, UNKNOWN, reason)
+
+    def _manager_part(self) -> int | None:
+        """Choose the part whose owner is to run a new job's ServerManager.
+
+        It is one that this node acts for or, where it has none, one whose owner was heard
+        just now. A job is accepted by the commit of its record, which needs no authority
+        over the part; its owner finds the record by its watch.
+        """
+        controller = self._controller
+        record = controller.view.split
+        numbers = [part.number for part in controller.acting()]
+        if not numbers and controller.authority.holds(controller.now) and record is not None:
+            numbers = [i for i, part in enumerate(record.parts) if self._is_heard(i, part.term)]
+        return numbers[controller.rng.randrange(len(numbers))] if numbers else None
+
+    def _is_heard(self, number: int, term: int) -> bool:
+        """Whether a part's present owner has told of it within the last seconds."""
+        told_at, gossip = self._controller.gossip.get(number, (-1e9, None))
+        fresh = self._controller.now - told_at <= GOSSIP_FRESH_S
+        return gossip is not None and fresh and gossip.term == term
+
+    def _accept(self, spec: JobSpec, manager: int) -> Step:
+        controller = self._controller
+        dated = msgspec.structs.replace(spec, at=round(controller.wall, 3))
+        record = JobRecord(dated, manager, self._assign(spec, manager), [])
+        key = keys.JOBS + spec.id
+        for _ in range(MOST_TRIES):
+            if not controller.authority.holds(controller.now):
+                return Outcome(503, UNKNOWN, "no authority", RETRY_S)
+            guards = [(key, 0), (keys.FINALS + spec.id, 0), controller.fence(manager)]
+            commit = Commit(guards, [Put(key, record)], [], ACCEPT)
+            result: StateResult = yield commit
+            if result.status == 200:
+                controller.view.committed(commit, result.rev)
+                controller.sync()
+                self._log_accepted(spec, record)
+                return Outcome(201, JobStatus(JobState.QUEUED, 0, 0))
+            if result.status == 400:
+                return Outcome(503, UNKNOWN, "not accepted", REFUSED_RETRY_S)
+            if result.status not in (0, 409):
+                break
+            # Perhaps an earlier try of ours, or of the user by way of another node.
+            status: JobStatus | None = yield from controller.answers.fresh(spec.id)
+            if status is None:
+                break
+            if status != UNKNOWN:
+                return Outcome(200, status)
+        return Outcome(503, UNKNOWN, "state service unavailable", RETRY_S)
+
+    def _log_accepted(self, spec: JobSpec, record: JobRecord) -> None:
+        sizes = {
+            part: sum(end - start for start, end in ranges)
+            for part, ranges in record.slices.items()
+        }
+        guaranteed = spec.id in self._controller.guaranteed
+        self._controller.log(
+            "info",
+            f"accepted {spec.id}: {spec.kind} of {spec.cls} for {spec.team}, tasks by part"
+            f" {sizes}{', within its guarantee' if guaranteed else ''}",
+        )
+
+    # --- slices ----------------------------------------------------------------------------
+
+    def _assign(self, spec: JobSpec, manager: int) -> dict[str, list[list[int]]]:
+        """Which part gets which slice at first; unstarted ones can migrate later."""
+        load = self._load_by_part(manager)
+        able = self._parts_with_share(spec, load) or [manager]
+        whole = spec.kind == GANG or spec.one_zone or spec.spread
+        if whole or spec.tasks < 2 * len(able):
+            part = self._part_for_whole(spec, able, load, manager)
+            return {str(part): [[0, spec.tasks]]}
+        slices: dict[str, list[list[int]]] = {}
+        start = 0
+        for part, size in zip(sorted(able), split.even(spec.tasks, len(able)), strict=True):
+            slices[str(part)] = [[start, start + size]]
+            start += size
+        return slices
+
+    def _gossip(self, part: int) -> Gossip | None:
+        told = self._controller.gossip.get(part)
+        return told[1] if told is not None else None
+
+    def _load_by_part(self, manager: int) -> dict[int, float]:
+        """Work that waits, less free room, of the manager's part and those heard lately."""
+        record = self._controller.view.split
+        assert record is not None
+        load: dict[int, float] = {}
+        for number, part in enumerate(record.parts):
+            if number != manager and not self._is_heard(number, part.term):
+                continue
+            gossip = self._gossip(number)
+            load[number] = 0.0
+            if gossip is not None:
+                load[number] = gossip.backlog - sum(room[3] for room in gossip.rooms)
+        return load
+
+    def _parts_with_share(self, spec: JobSpec, load: dict[int, float]) -> list[int]:
+        """Parts whose share of the team's limit holds a task, or the whole gang."""
+        record = self._controller.view.split
+        assert record is not None
+        unit = spec.tasks if spec.kind == GANG else 1
+        able = []
+        for number in load:
+            cpus, gpus = record.parts[number].shares.get(spec.team, [0, 0])
+            if cpus >= unit * spec.need[0] and gpus >= unit * spec.need[1]:
+                able.append(number)
+        return able
+
+    def _part_for_whole(
+        self, spec: JobSpec, able: list[int], load: dict[int, float], manager: int
+    ) -> int:
+        """Choose the part for a job that stays one slice: one with room, and of least load."""
+        controller = self._controller
+        whole = spec.kind == GANG or spec.one_zone or spec.spread
+        count = spec.tasks if whole else 1
+        told = {part: g for part in able if (g := self._gossip(part)) is not None}
+        fitting = [p for p, g in told.items() if gang_fits(spec, spec.need, g.rooms, count)]
+        if not fitting and controller.fleet.hurried(spec):
+            # Else where it may stop what runs there.
+            fitting = [
+                part
+                for part, g in told.items()
+                if gang_fits(spec, spec.need, g.rooms + g.held, count)
+            ]
+        candidates = fitting or able
+        best = min(candidates, key=lambda part: (load[part], part != manager, part))
+        if best in told and spec.kind == GANG:
+            # Several that come at once are not all sent to the same machine.
+            reserve(told[best], spec, count)
+        return best
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -25,12 +25,15 @@
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
+from marblestair.core.messages import Command, Gossip, Note, Reply
 from marblestair.core.migrate import Migrations
 from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
 from marblestair.core.part import Machine, Part
 from marblestair.core.preempt import Preemption
 from marblestair.core.progress import keep_progress, load_progress
+from marblestair.core.requests import Requests
 from marblestair.core.retiring import absent
+from marblestair.core.share_moves import ShareMoves
 from marblestair.core.shares import within_guarantee
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
@@ -39,71 +42,6 @@
 BOOTED = 2.0
 
 
-class Reply(msgspec.Struct, frozen=True):
-    """Final answer to a user's request."""
-
-    request: int
-    status: int
-    job: str = ""
-    state: str = ""
-    done: int | None = None
-    running: int | None = None
-    error: str = ""
-    retry_after: int = 0
-
-
-class Command(msgspec.Struct, frozen=True):
-    """Orders to send straight to a worker."""
-
-    addr: str
-    token: int
-    session: int
-    orders: list[Order]
-
-
-class Note(msgspec.Struct, frozen=True):
-    """A one-way message to another controller."""
-
-    node: str
-    tag: str
-    args: list[Any]
-
-
-class Gossip(msgspec.Struct, array_like=True):
-    """What a node tells the others about one of its parts."""
-
-    part: int
-    term: int
-    #: free room by machine: type, zone, spot, cpus, gpus, memory
-    rooms: list[tuple[str, str, bool, int, int, int]]
-    #: the same, for what a hurried gang of high priority may have by stopping arrays
-    held: list[tuple[str, str, bool, int, int, int]]
-    backlog: int
-    #: room left under each team's share
-    shares: dict[str, list[int]]
-    #: team -> cpus and gpus that waiting tasks lack in this part's share
-    wants: dict[str, list[int]]
-    #: job, tasks waiting, tasks on machines
-    waiting: list[tuple[str, int, int]]
-    #: machines with tasks, and how much of them is in use
-    busy: list[tuple[str, int]]
-    #: machines without tasks, and for how long
-    idle: list[tuple[str, float]]
-    #: jobs whose tasks must start together and that no part has room for as it is
-    needs: list[str]
-    #: machines that run gangs
-    gangs: list[str]
-    #: machines that are not to be counted on
-    leaving: list[str]
-    #: machines that fell silent together with many, and for which is waited
-    absent: list[str]
-    #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
-    #: it is too small for
-    stuck: dict[str, list[int]]
-    #: jobs of which nothing succeeded, and on how many machines nothing else fails
-    failing: list[tuple[str, int]] = []
-
-
 class Controller:
     """One node's whole state; see the module's page for how it is driven."""
 
@@ -146,6 +84,8 @@
         self.answers = Answers(self)
         self.cancels = Cancels(self)
         self.jobs = Jobs(self)
+        self.requests = Requests(self)
+        self.share_moves = ShareMoves(self)
         self.fleet = Fleet(self)
         self.migrations = Migrations(self)
         self.preemption = Preemption(self)
@@ -484,7 +424,7 @@
         if now >= self._next_slow:
             self._next_slow = now + 1.0
             self.cancels.prune()
-            self.jobs.rebalance(acting)
+            self.share_moves.rebalance(acting)
 
     def _tell(self, acting: list[Part]) -> None:
         told = []
--- /dev/null
+++ b/marblestair/core/messages.py
@@ -0,0 +1,74 @@
+"""What a controller hands to its shell and tells other controllers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from marblestair.core.model import Order
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Final answer to a user's request."""
+
+    request: int
+    status: int
+    job: str = ""
+    state: str = ""
+    done: int | None = None
+    running: int | None = None
+    error: str = ""
+    retry_after: int = 0
+
+
+class Command(msgspec.Struct, frozen=True):
+    """Orders to send straight to a worker."""
+
+    addr: str
+    token: int
+    session: int
+    orders: list[Order]
+
+
+class Note(msgspec.Struct, frozen=True):
+    """A one-way message to another controller."""
+
+    node: str
+    tag: str
+    args: list[Any]
+
+
+class Gossip(msgspec.Struct, array_like=True):
+    """What a node tells the others about one of its parts."""
+
+    part: int
+    term: int
+    #: free room by machine: type, zone, spot, cpus, gpus, memory
+    rooms: list[tuple[str, str, bool, int, int, int]]
+    #: the same, for what a hurried gang of high priority may have by stopping arrays
+    held: list[tuple[str, str, bool, int, int, int]]
+    backlog: int
+    #: room left under each team's share
+    shares: dict[str, list[int]]
+    #: team -> cpus and gpus that waiting tasks lack in this part's share
+    wants: dict[str, list[int]]
+    #: job, tasks waiting, tasks on machines
+    waiting: list[tuple[str, int, int]]
+    #: machines with tasks, and how much of them is in use
+    busy: list[tuple[str, int]]
+    #: machines without tasks, and for how long
+    idle: list[tuple[str, float]]
+    #: jobs whose tasks must start together and that no part has room for as it is
+    needs: list[str]
+    #: machines that run gangs
+    gangs: list[str]
+    #: machines that are not to be counted on
+    leaving: list[str]
+    #: machines that fell silent together with many, and for which is waited
+    absent: list[str]
+    #: team -> what the whole share must hold for the first waiting unit (a task, or a gang) that
+    #: it is too small for
+    stuck: dict[str, list[int]]
+    #: jobs of which nothing succeeded, and on how many machines nothing else fails
+    failing: list[tuple[str, int]] = []
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -25,7 +25,8 @@
 from marblestair.core.split import raise_term
 
 if TYPE_CHECKING:
-    from marblestair.core.controller import Controller, Gossip
+    from marblestair.core.controller import Controller
+    from marblestair.core.messages import Gossip
 
 #: a migration's locks are given up when its source has not come back for this share of a lease
 LOCK_RATIO = 0.5
@@ -194,7 +195,7 @@
         if not any(u < x for u, x in zip(used, share, strict=True)):
             return
         if s.spec.kind != GANG:
-            share = (share[0] - c.jobs.kept(part, team), share[1])
+            share = (share[0] - c.share_moves.largest_gang(part, team), share[1])
             if share[0] <= used[0]:
                 return
         here = -1
@@ -211,7 +212,7 @@
             give = [max(0, min(share[i] - used[i], n * need[i] - there[i])) for i in range(2)]
             if n > 0 and any(give):
                 c.lowered[(part.number, team)] = give
-                c.spawn(c.jobs.give_room(part, g.part, team, give))
+                c.spawn(c.share_moves.give_room(part, g.part, team, give))
                 return
 
     # --- machines --------------------------------------------------------------------------
--- /dev/null
+++ b/marblestair/core/requests.py
@@ -0,0 +1,106 @@
+"""Users' requests: submission, query and cancel of a job, each ended by one reply."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from marblestair.core.acceptance import RETRY_S, Acceptance, Outcome
+from marblestair.core.answers import FINAL_STATES, UNKNOWN, JobState, JobStatus
+from marblestair.core.calls import PeerCall
+from marblestair.core.flow import Flow, Step
+from marblestair.core.messages import Reply
+from marblestair.core.model import JobSpec
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: time for another controller to answer a cancel, within the 5 s that a user waits; what is left
+#: of them is for the state service
+CANCEL_PEER_S = 2.5
+#: time for the owners of slices to apply a cancel that is entered by way of the record
+SETTLE_S = 1.0
+
+
+class Requests:
+    """The requests of users at one node."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        self._acceptance = Acceptance(controller)
+
+    def submit(self, request: int, spec: JobSpec) -> Flow:
+        """POST of a job."""
+        outcome: Outcome = yield from self._acceptance.submit(spec)
+        self._reply(request, spec.id, outcome)
+
+    def query(self, request: int, job: str) -> Flow:
+        """GET of a job."""
+        status: JobStatus | None = yield from self._controller.answers.lookup(job)
+        if status is None:
+            outcome = Outcome(503, UNKNOWN, "state not available", RETRY_S)
+        elif status == UNKNOWN:
+            outcome = Outcome(404, UNKNOWN, "no such job")
+        else:
+            outcome = Outcome(200, status)
+        self._reply(request, job, outcome)
+
+    def cancel(self, request: int, job: str) -> Flow:
+        """POST of a cancel."""
+        outcome: Outcome = yield from self._cancel(job)
+        self._reply(request, job, outcome)
+
+    def _cancel(self, job: str) -> Step:
+        controller = self._controller
+        answers = controller.answers
+        if job not in answers.finals and job not in controller.view.jobs:
+            yield from answers.read(job)
+        if job in answers.finals:
+            return Outcome(200, JobStatus(answers.finals[job]))
+        final: JobState | None = None
+        if not controller.cut_off():
+            if job in controller.view.jobs:
+                final = yield from self._cancel_live(job)
+            else:
+                status: JobStatus | None = yield from answers.lookup(job)
+                if status == UNKNOWN:
+                    return Outcome(404, UNKNOWN, "no such job")
+                if status is not None and status.is_final:
+                    final = status.state
+        if final is None:
+            return Outcome(503, UNKNOWN, "not cancelled yet", RETRY_S)
+        return Outcome(200, JobStatus(final))
+
+    def _cancel_live(self, job: str) -> Step:
+        """Have a job cancelled whose record is in the view: its final state, or None for now."""
+        controller = self._controller
+        owner = controller.owner(controller.view.jobs[job].manager)
+        answer: Any = None
+        if owner == controller.node:
+            answer = yield from controller.jobs.cancel_here(job)
+        elif owner is not None:
+            answer = yield PeerCall(owner, "cancel", [job], CANCEL_PEER_S)
+        if answer in FINAL_STATES:
+            return JobState(answer)
+        if owner == controller.node:
+            return None
+        # The manager is not heard, or cannot write: by way of the record.
+        if not controller.cancels.known(job):
+            yield from controller.cancels.enter(job)
+        if (yield from controller.cancels.settle(job, SETTLE_S)):
+            return JobState.CANCELLED
+        return controller.answers.finals.get(job)
+
+    def _reply(self, request: int, job: str, outcome: Outcome) -> None:
+        status = outcome.status
+        self._controller.replies.append(
+            Reply(
+                request,
+                outcome.http_status,
+                job,
+                status.state,
+                status.done,
+                status.running,
+                outcome.error,
+                outcome.retry_after_s,
+            )
+        )
--- a/marblestair/core/view.py
+++ b/marblestair/core/view.py
@@ -95,11 +95,10 @@
 
     def take_absence(self, key: str, rev: int) -> None:
         """Take in that a read at a revision has found no such key."""
-        if rev < self.version(key):
+        if key not in self.versions or rev < self.versions[key]:
             return
         self._note_absence(key, rev)
-        if key in self.versions:
-            self._set(key, None, rev)
+        self._set(key, None, rev)
 
     def committed(self, commit: Commit, rev: int) -> None:
         """Take in an own commit, ahead of the watch or behind it."""
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -28,7 +28,8 @@
     StateResult,
     Watch,
 )
-from marblestair.core.controller import Command, Controller, Reply
+from marblestair.core.controller import Controller
+from marblestair.core.messages import Command, Reply
 from marblestair.net.budget import Budget
 from marblestair.net.http_client import HttpClient
 from marblestair.net.http_server import Connection, HttpServer
@@ -269,11 +270,11 @@
         self._next += 1
         self._requests[n] = conn
         if spec is not None:
-            self.core.spawn(self.core.jobs.submit(n, spec))
+            self.core.spawn(self.core.requests.submit(n, spec))
         elif action == "query":
-            self.core.spawn(self.core.jobs.query(n, job))
+            self.core.spawn(self.core.requests.query(n, job))
         else:
-            self.core.spawn(self.core.jobs.cancel(n, job))
+            self.core.spawn(self.core.requests.cancel(n, job))
         self._flush()
 
     def _answer(self, conn: Connection, r: Reply) -> None:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -771,7 +771,7 @@
         def deliver() -> None:
             if self.cores.get(node) is core and not self.asleep(node, deliver):
                 self.set_time(core)
-                core.spawn(getattr(core.jobs, what)(n, arg))
+                core.spawn(getattr(core.requests, what)(n, arg))
                 self.flush(node)
 
         deliver()
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -9,7 +9,7 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import Commit, LeaseGrant, Put
-from marblestair.core.controller import Reply
+from marblestair.core.messages import Reply
 from marblestair.core.model import Order
 from tests.fakes.world import TYPES, Worker, World, spec
 
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marblestair.core import keys
-from marblestair.core.calls import LEASE, LOOKUP, Get, Inspect, ListKeys, PeerCall
+from marblestair.core.calls import LEASE, LOOKUP, Commit, Get, Inspect, ListKeys, PeerCall
 from tests.fakes.world import World, spec
 from tests.test_growth import steps
 from tests.test_stories import owner, warm
@@ -123,7 +123,7 @@
     # Begun before the job is submitted, this one may be answered either way.
     node = world.cores["n0"]
     assert node is not None
-    node.spawn(node.jobs.query(1 << 40, job))
+    node.spawn(node.requests.query(1 << 40, job))
     world.flush("n0")
     missing = [reader for reader in recorder.held if reader[2].key == keys.JOBS + job]
     assert missing
@@ -175,8 +175,33 @@
 
         def poll(core: Any = core, job: str = ids[0]) -> None:
             for number in range(100):
-                core.spawn(core.jobs.query((1 << 40) + number, job))
+                core.spawn(core.requests.query((1 << 40) + number, job))
 
         cost[jobs] = steps(poll) / 100
     assert cost[3] < 40
     assert cost[60] <= 1.1 * cost[3]
+
+
+def test_polls_during_a_change_share_their_reads() -> None:
+    # While the end of a job is on its way the manager cannot answer from memory. However many
+    # ask, one search is under way at a time, and none is held back for the commit.
+    world = warm(31)
+    job = world.submit(spec(1, tasks=2, estimate_s=3.0))
+    manager = manager_of(world, job)
+    world.watch_lag[manager] = 1.0
+
+    def ends(call: Any) -> bool:
+        return isinstance(call, Commit) and keys.JOBS + job in call.deletes
+
+    world.answer_late = lambda node, call: 1.1 if ends(call) else None
+    while keys.FINALS + job not in world.state.data:
+        world.run(0.01)
+    recorder = Recorder(world, manager)
+    answers = []
+    for _ in range(50):
+        answers += [world.ask(manager, "query", job) for _ in range(10)]
+        world.run(0.01)
+    assert all(answer[0].state == "done" for answer in answers if answer)
+    assert sum(bool(answer) for answer in answers) > 400
+    assert recorder.reads(job) <= 4
+    assert not world.broken
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -258,7 +258,7 @@
         for number in rec.slices:
             term = core.view.split.parts[int(number)].term
             mj.reports[int(number)] = PartReport(job, int(number), term, 0, 0, 0, 9, over)
-        assert core.jobs._empty(mj, rec) == over
+        assert core.jobs._is_empty(mj, rec, core.view.split) == over
 
 
 def test_after_a_takeover_a_cancels_time_counts_from_before_it() -> None:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -124,3 +124,28 @@
         late.view.apply(late.history.events(late.view.rev), late.history.rev)
         now = {key: late.history.version(key) for key in NODES}
         assert {key: late.view.version(key) for key in NODES} == now
+
+
+def test_a_machine_that_is_gone_does_not_come_back() -> None:
+    # Rented, recorded and given back, before the node that rented it is answered.
+    key = keys.MACHINES + "host-000001"
+    member = [0, "t8", "a", False, 0.0]
+    view = View()
+    view.apply([Event(key, member, 3), Event(key, None, 5)], 5)
+    view.committed(Commit([], [Put(key, member)]), 3)
+    view.take_in(key, member, 4)
+    assert not view.machines
+    assert list(view.gone) == ["host-000001"]
+
+
+def test_what_is_known_beyond_the_watch_is_forgotten_once_it_is_there() -> None:
+    view = View()
+    followed = [f"{keys.NODES}{number}" for number in range(1000)]
+    view.apply([Event(key, 1, 1) for key in followed], 1)
+    for key in followed:
+        view.take_absence(key, 2)
+        # Nothing is kept of keys that the view never held, however many users ask for.
+        view.take_absence(key + "/unknown", 2)
+    assert len(view._absent_at) == 1000
+    view.apply([Event(key, None, 2) for key in followed], 2)
+    assert not view._absent_at
