--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -22,10 +22,10 @@
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
-    from marblestair.core.messages import Gossip
+    from marblestair.core.messages import PartSummary
 
 #: time for which what an owner told of its part is recent enough to accept jobs into it
-GOSSIP_FRESH_S = 4.0
+SUMMARY_FRESH_S = 4.0
 #: commits tried for one submission
 MOST_TRIES = 3
 #: seconds after which a user who was refused for now may come back: usually, without a part to
@@ -115,9 +115,9 @@
 
     def _is_heard(self, number: int, term: int) -> bool:
         """Whether a part's present owner has told of it within the last seconds."""
-        told_at, gossip = self._controller.gossip.get(number, (-1e9, None))
-        fresh = self._controller.now - told_at <= GOSSIP_FRESH_S
-        return gossip is not None and fresh and gossip.term == term
+        told_at, summary = self._controller.summaries.get(number, (-1e9, None))
+        fresh = self._controller.now - told_at <= SUMMARY_FRESH_S
+        return summary is not None and fresh and summary.term == term
 
     def _accept(self, spec: JobSpec, manager: int) -> Step:
         controller = self._controller
@@ -176,8 +176,8 @@
             start += size
         return slices
 
-    def _gossip(self, part: int) -> Gossip | None:
-        told = self._controller.gossip.get(part)
+    def _summary(self, part: int) -> PartSummary | None:
+        told = self._controller.summaries.get(part)
         return told[1] if told is not None else None
 
     def _load_by_part(self, manager: int) -> dict[int, float]:
@@ -188,10 +188,10 @@
         for number, part in enumerate(record.parts):
             if number != manager and not self._is_heard(number, part.term):
                 continue
-            gossip = self._gossip(number)
+            summary = self._summary(number)
             load[number] = 0.0
-            if gossip is not None:
-                load[number] = gossip.backlog - sum(room[3] for room in gossip.rooms)
+            if summary is not None:
+                load[number] = summary.backlog - sum(room[3] for room in summary.rooms)
         return load
 
     def _parts_with_share(self, spec: JobSpec, load: dict[int, float]) -> list[int]:
@@ -213,7 +213,7 @@
         controller = self._controller
         whole = spec.kind == GANG or spec.one_zone or spec.spread
         count = spec.tasks if whole else 1
-        told = {part: g for part in able if (g := self._gossip(part)) is not None}
+        told = {part: g for part in able if (g := self._summary(part)) is not None}
         fitting = [p for p, g in told.items() if gang_fits(spec, spec.need, g.rooms, count)]
         if not fitting and controller.fleet.hurried(spec):
             # Else where it may stop what runs there.
--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -82,11 +82,11 @@
 class Answers:
     """What one node may tell of jobs."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         self.finals: OrderedDict[str, JobState] = OrderedDict()
-        state = c.settings.cluster.state
-        self.lookups = Lookups(c.runner, self, state.rps / len(c.settings.nodes))
+        state = controller.settings.cluster.state
+        self.lookups = Lookups(controller.runner, self, state.rps / len(controller.settings.nodes))
 
     def final(self, job: str, state: JobState) -> None:
         """Remember a job's final state."""
@@ -103,8 +103,8 @@
         """
         if job in self.finals:
             return JobStatus(self.finals[job])
-        if self.c.cancels.known(job):
-            return JobStatus(JobState.CANCELLED) if self.c.cancels.confirmed(job) else None
+        if self.controller.cancels.known(job):
+            return JobStatus(JobState.CANCELLED) if self.controller.cancels.confirmed(job) else None
         return None if found is None else found.status
 
     def local(self, job: str) -> JobStatus | None:
@@ -112,10 +112,10 @@
         return self.may_tell(job, self._managed_status(job))
 
     def _managed_status(self, job: str) -> ProvenStatus | None:
-        c = self.c
-        record = c.view.jobs.get(job)
-        managed = c.jobs.managed.get(job)
-        if record is None or managed is None or not c.acts(managed.part):
+        controller = self.controller
+        record = controller.view.jobs.get(job)
+        managed = controller.jobs.managed.get(job)
+        if record is None or managed is None or not controller.acts(managed.part):
             return None
         if not managed.is_settled:
             # The end may be committed already, and others may have told it.
@@ -134,12 +134,12 @@
 
     def search(self, job: str) -> Step:
         """The status of a job that this node does not manage, from its manager or a fresh read."""
-        c = self.c
-        record = c.view.jobs.get(job)
-        c.cancels.carry(job)
+        controller = self.controller
+        record = controller.view.jobs.get(job)
+        controller.cancels.carry(job)
         if record is not None:
-            owner = c.owner(record.manager)
-            if owner is not None and owner != c.node and not c.cut_off():
+            owner = controller.owner(record.manager)
+            if owner is not None and owner != controller.node and not controller.cut_off():
                 answer = yield PeerCall(owner, "query", [job], QUERY_PEER_S)
                 told = self._take_answer(job, answer)
                 if told is not None:
@@ -160,15 +160,15 @@
 
     def fresh(self, job: str, lane: int = ACCEPT) -> Step:
         """A job's status from a fresh read: UNKNOWN, or None when it cannot be told now."""
-        c = self.c
+        controller = self.controller
         found = yield from self.read(job, lane)
         if found is None or found == UNKNOWN:
             return found
-        if found.state is JobState.CANCELLED and not c.cancels.known(job):
+        if found.state is JobState.CANCELLED and not controller.cancels.known(job):
             # The record was read before the job ended, and the view is past its end: its entry
             # is forgotten, and its final state is not read yet.
             return self.may_tell(job, None)
-        managed = c.jobs.managed.get(job)
+        managed = controller.jobs.managed.get(job)
         done = managed.tasks_done if managed is not None else 0
         state = JobState.RUNNING if done else JobState.QUEUED
         return self.may_tell(job, ProvenStatus(JobStatus(state, done, 0), Proof.READ))
@@ -179,19 +179,19 @@
         Returns the status as kept, UNKNOWN, or None when it could not be read. What is read
         is taken into the view; whether it may be told is for the caller to ask.
         """
-        c = self.c
-        if c.cut_off():
+        controller = self.controller
+        if controller.cut_off():
             return None
         r: StateResult = yield Get(keys.JOBS + job, lane)
         if r.status == 200:
-            c.view.take_in(keys.JOBS + job, r.value, r.version)
-            c.sync()
+            controller.view.take_in(keys.JOBS + job, r.value, r.version)
+            controller.sync()
             record = msgspec.convert(r.value, JobRecord)
             return JobStatus(JobState.CANCELLED if record.cancelled else JobState.QUEUED)
         if r.status != 404:
             return None
-        c.view.take_absence(keys.JOBS + job, r.rev)
-        c.sync()
+        controller.view.take_absence(keys.JOBS + job, r.rev)
+        controller.sync()
         # In this order: a job that ends between the two reads moves from the first key to the
         # second.
         f: StateResult = yield Get(keys.FINALS + job, lane)
--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from marblestair.core import keys, split
 from marblestair.core.calls import (
     LEASE,
@@ -43,18 +45,27 @@
 SETTLE = 1.5
 
 
+class GrantedLease(msgspec.Struct, frozen=True):
+    """A lease, and the time at which it was last asked for."""
+
+    lease: int
+    asked_at: float
+
+
 class Authority:
     """Leases and ownership of one node."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
-        workers = c.settings.cluster.workers
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
+        workers = controller.settings.cluster.workers
         self.ttl = min(600.0, max(0.5, workers.lease_s * LEASE_RATIO))
         self.takeover_s = TAKEOVER_LEASES * self.ttl
         self.until = -1e9
         #: revision of the commit that put this node's key; the view must include it
         self.key_rev = 0
         self.lease: int | None = None
+        #: a lease that the node's key is to be tied to
+        self._granted: GrantedLease | None = None
         self.booted = False
         #: part -> a term that this node itself raised while it went on acting
         self.raised: dict[int, int] = {}
@@ -80,12 +91,15 @@
 
     def holds(self, now: float) -> bool:
         """Whether this node's lease surely holds and its view is recent enough to act on."""
-        c = self.c
-        if c.view.rev < self.key_rev:
+        controller = self.controller
+        if controller.view.rev < self.key_rev:
             return False
         if now < self.trusted_until:
             return True
-        return now < self.until and now - c.view.fresh_at < c.settings.cluster.workers.lease_s
+        return (
+            now < self.until
+            and now - controller.view.fresh_at < controller.settings.cluster.workers.lease_s
+        )
 
     def acts(self, part: Part | None, now: float) -> bool:
         """Whether this node may act for a part."""
@@ -105,22 +119,22 @@
         """Load the view, then follow it and keep a lease."""
         yield from self._load()
         self.booted = True
-        self.c.runner.keep(self._follow)
-        self.c.runner.keep(self._keep_lease)
-        self.c.runner.keep(self._keep_promises)
+        self.controller.runner.keep(self._follow)
+        self.controller.runner.keep(self._keep_lease)
+        self.controller.runner.keep(self._keep_promises)
 
     def _load(self) -> Step:
         """Read all that is followed, for as long as it takes."""
-        c = self.c
+        controller = self.controller
         while True:
-            sent = c.now
+            sent = controller.now
             pages = yield from self._list_pages()
             if pages is not None:
-                c.view.load(pages)
-                c.view.fresh_at = sent
-                c.sync()
+                controller.view.load(pages)
+                controller.view.fresh_at = sent
+                controller.sync()
                 return
-            yield Sleep(0.3 + 0.4 * c.rng.random())
+            yield Sleep(0.3 + 0.4 * controller.rng.random())
 
     def _list_pages(self) -> Step:
         """All pages of what is followed; None when one of them could not be read."""
@@ -136,82 +150,108 @@
             after = page.items[-1].key
 
     def _follow(self) -> Flow:
-        c = self.c
+        controller = self.controller
         wait_ms = int(self.ttl * 500)
         # On a busy deployment something always has changed: a watch answers at once, and may not
         # take the node's whole rate of requests.
-        rps = c.settings.cluster.state.rps / len(c.settings.nodes)
+        rps = controller.settings.cluster.state.rps / len(controller.settings.nodes)
         pause = min(self.ttl / 8, max(0.15, 1.0 / (WATCH_SHARE * rps)))
         while True:
-            sent = c.now
-            r: StateResult = yield Watch(keys.VIEW, c.view.rev, wait_ms)
+            sent = controller.now
+            r: StateResult = yield Watch(keys.VIEW, controller.view.rev, wait_ms)
             if r.status == 200:
-                c.view.apply(r.events, r.rev)
-                c.view.fresh_at = max(c.view.fresh_at, sent)
-                c.sync()
-                yield Sleep(max(0.0, sent + pause - c.now))
+                controller.view.apply(r.events, r.rev)
+                controller.view.fresh_at = max(controller.view.fresh_at, sent)
+                controller.sync()
+                yield Sleep(max(0.0, sent + pause - controller.now))
             elif r.status == 410:
                 yield from self._load()
             else:
-                yield Sleep(0.2 + 0.3 * c.rng.random())
+                yield Sleep(0.2 + 0.3 * controller.rng.random())
 
     def _keep_lease(self) -> Flow:
-        c = self.c
-        key = keys.NODES + c.node
-        #: a lease that the node's key is to be tied to, and when it was last asked for
-        granted: tuple[int, float] | None = None
+        controller = self.controller
         while True:
-            sent = c.now
             if self.lease is not None:
-                r: StateResult = yield LeaseRenew(self.lease)
-                if r.status == 200:
-                    self._extend(sent)
-                elif r.status == 404:
-                    self.lease = None
-                    continue
-            elif granted is None:
-                r = yield LeaseGrant(int(self.ttl * 1000))
-                if r.status == 200:
-                    granted = r.lease, sent
-                    continue
+                status = yield from self._renew(self.lease)
+            elif self._granted is None:
+                status = yield from self._grant()
             else:
-                # Every try ties the key to this one lease, and each is guarded on the version
-                # read before it. A try without an answer, carried out late, can then neither
-                # replace a newer one nor leave the key with a lease that nobody renews.
-                version = c.view.version(key)
-                lease, asked = granted
-                put = Commit([(key, version)], [Put(key, c.incarnation, lease)], lane=LEASE)
-                r = yield put
-                if r.status == 200:
-                    self.lease, granted = lease, None
-                    # Authority counts only once the view includes this commit: while the
-                    # key was missing, another node may have taken the parts.
-                    self.key_rev = r.rev
-                    c.view.committed(put, r.rev)
-                    self._extend(asked)
-                    c.sync()
-                elif r.status == 400:
-                    # The lease has ended meanwhile.
-                    granted = None
-                    continue
-                elif r.status == 409:
-                    got: StateResult = yield Get(key, LEASE)
-                    if got.status == 200:
-                        c.view.take_in(key, got.value, got.version)
-                    elif got.status == 404:
-                        c.view.take_absence(key, got.rev)
-                    c.sync()
-                if granted is not None:
-                    # Tried again while it holds: what may still come is tied to it too.
-                    asked = c.now
-                    kept: StateResult = yield LeaseRenew(lease)
-                    if kept.status == 200:
-                        granted = lease, asked
-                    elif kept.status == 404:
-                        granted = None
-            self.failing = r.status != 200
-            pause = self.ttl / 4 if r.status == 200 else self.ttl / 12
-            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+                status = yield from self._tie_key(self._granted)
+            if status is None:
+                continue
+            self.failing = status != 200
+            pause = self.ttl / 4 if status == 200 else self.ttl / 12
+            yield Sleep(pause * (0.8 + 0.4 * controller.rng.random()))
+
+    def _renew(self, lease: int) -> Step:
+        """Renew the node's lease: the status, or None when there is none any more."""
+        sent = self.controller.now
+        result: StateResult = yield LeaseRenew(lease)
+        if result.status == 200:
+            self._extend(sent)
+        elif result.status == 404:
+            self.lease = None
+            return None
+        return result.status
+
+    def _grant(self) -> Step:
+        """Ask for a lease: the status, or None when there is one to tie the node's key to."""
+        sent = self.controller.now
+        result: StateResult = yield LeaseGrant(int(self.ttl * 1000))
+        if result.status == 200:
+            self._granted = GrantedLease(result.lease, sent)
+            return None
+        return result.status
+
+    def _tie_key(self, granted: GrantedLease) -> Step:
+        """Put the node's key under a granted lease: the status, or None when that has ended.
+
+        Every try ties the key to this one lease, and each is guarded on the version read before
+        it. A try without an answer, carried out late, can then neither replace a newer one nor
+        leave the key with a lease that nobody renews.
+        """
+        controller = self.controller
+        key = keys.NODES + controller.node
+        guards = [(key, controller.view.version(key))]
+        put = Commit(guards, [Put(key, controller.incarnation, granted.lease)], lane=LEASE)
+        result: StateResult = yield put
+        if result.status == 200:
+            self.lease, self._granted = granted.lease, None
+            # Authority counts only once the view includes this commit: while the key was
+            # missing, another node may have taken the parts.
+            self.key_rev = result.rev
+            controller.view.committed(put, result.rev)
+            self._extend(granted.asked_at)
+            controller.sync()
+            return result.status
+        if result.status == 400:
+            # The lease has ended meanwhile.
+            self._granted = None
+            return None
+        if result.status == 409:
+            yield from self._refresh_key(key)
+        # Tried again while it holds: what may still come is tied to it too.
+        asked_at = controller.now
+        kept: StateResult = yield LeaseRenew(granted.lease)
+        if kept.status == 200:
+            self._granted = GrantedLease(granted.lease, asked_at)
+        elif kept.status == 404:
+            self._granted = None
+        return result.status
+
+    def _refresh_key(self, key: str) -> Step:
+        """Read one followed key afresh; whether that succeeded."""
+        controller = self.controller
+        got: StateResult = yield Get(key, LEASE)
+        if got.status == 200:
+            controller.view.take_in(key, got.value, got.version)
+        elif got.status == 404:
+            controller.view.take_absence(key, got.rev)
+        else:
+            return False
+        controller.sync()
+        return True
 
     # --- promises --------------------------------------------------------------------------
 
@@ -221,29 +261,31 @@
         Only promises of every other node let this one act beyond its lease, and only without a
         gap: a node that can still take over gives none, and one that does not answer gives none.
         """
-        c = self.c
+        controller = self.controller
         while True:
             yield Sleep(self.ttl / 8)
-            now = c.now
+            now = controller.now
             failing = self.failing and now - self.renewed > 0.3 * self.ttl
-            if not failing or not c.parts or not self.holds(now):
+            if not failing or not controller.parts or not self.holds(now):
                 continue
-            if self.trusted_until - now > 0.6 * self.ttl or not c.settings.others:
+            if self.trusted_until - now > 0.6 * self.ttl or not controller.settings.others:
                 continue
-            for p in c.settings.others:
-                ask = [c.node, c.incarnation, c.view.rev]
+            for p in controller.settings.others:
+                ask = [controller.node, controller.incarnation, controller.view.rev]
                 got = yield PeerCall(p.node, "promise", ask, 0.5)
                 if not isinstance(got, list):
                     break
                 for job, rev in got:
-                    c.cancels.learn(str(job), int(rev))
+                    controller.cancels.learn(str(job), int(rev))
             else:
-                if self.holds(c.now):
+                if self.holds(controller.now):
                     before = self.trusted_until
                     until = now + self.ttl * (1 - DRIFT) - 0.05
                     self.trusted_until = max(before, until)
                     if before < now:
-                        c.log("info", "the state service is out of reach: acting on promises")
+                        controller.log(
+                            "info", "the state service is out of reach: acting on promises"
+                        )
 
     def promise(self, node: str, incarnation: int, rev: int) -> list[list[Any]] | None:
         """Promise not to take a node's parts for a lease's time, unless this node might.
@@ -252,24 +294,24 @@
         the promise only after it has applied them. So an owner that acts on promises has applied
         each cancel that any other node can have confirmed. None: no promise.
         """
-        c = self.c
-        s = c.view.split
-        now = c.now
+        controller = self.controller
+        s = controller.view.split
+        now = controller.now
         if s is None or not self.booted or not self.failing or self._taking:
             return None
-        if self._take_doubt == c.view.version(keys.SPLIT):
+        if self._take_doubt == controller.view.version(keys.SPLIT):
             # A takeover was sent and may yet be carried out.
             return None
-        if c.view.nodes.get(node) != incarnation:
+        if controller.view.nodes.get(node) != incarnation:
             return None
-        entries = c.cancels.later_than(rev)
+        entries = controller.cancels.later_than(rev)
         if entries is not None:
             self.promised[node] = now + self.ttl
         return entries
 
     def bound(self, node: str, now: float) -> bool:
         """Whether a node may be acting on a promise given here, also before a restart."""
-        return now < self.promised.get(node, -1e9) or now - self.c.started < self.ttl
+        return now < self.promised.get(node, -1e9) or now - self.controller.started < self.ttl
 
     def _extend(self, sent: float) -> None:
         self.renewed = sent
@@ -279,78 +321,81 @@
 
     def tick(self, now: float) -> None:
         """Take what is orphaned, give back what is too much."""
-        c = self.c
-        for node, inc in c.view.nodes.items():
+        controller = self.controller
+        for node, inc in controller.view.nodes.items():
             if self.seen_since.get(node, (None, 0.0))[0] != inc:
                 self.seen_since[node] = (inc, now)
         if not self.booted or self._taking or not self.holds(now):
             return
-        s = c.view.split
+        s = controller.view.split
         if s is None:
             self._taking = True
-            c.spawn(self._create())
+            controller.spawn(self._create())
             return
-        mine = [i for i, p in enumerate(s.parts) if (p.owner, p.incarnation) == c.me]
+        mine = [i for i, p in enumerate(s.parts) if (p.owner, p.incarnation) == controller.me]
         take: list[int] = []
         guards: list[tuple[str, int]] = []
         for i, p in enumerate(s.parts):
-            if (p.owner, p.incarnation) == c.me:
+            if (p.owner, p.incarnation) == controller.me:
                 self._absent.pop(i, None)
                 continue
             key = keys.NODES + p.owner
-            if p.owner == c.node:
+            if p.owner == controller.node:
                 # This node's earlier process held it, and that process is dead.
                 take.append(i)
                 continue
-            if p.owner and c.view.nodes.get(p.owner) == p.incarnation:
+            if p.owner and controller.view.nodes.get(p.owner) == p.incarnation:
                 self._absent.pop(i, None)
                 continue
             if p.owner and self.bound(p.owner, now):
                 continue
             since = self._absent.setdefault(i, now)
-            wait = 0.35 * (len(mine) + len(take)) + 0.15 * c.rng.random()
+            wait = 0.35 * (len(mine) + len(take)) + 0.15 * controller.rng.random()
             if not p.owner:
                 # A new deployment: leave each node time to take its own.
-                wait += 0.0 if c.home(i) == c.node else self.ttl
-            elif c.view.nodes.get(p.owner) is not None:
+                wait += 0.0 if controller.home(i) == controller.node else self.ttl
+            elif controller.view.nodes.get(p.owner) is not None:
                 # Its node is back as a new process, which takes the part itself.
                 wait += self.ttl / 2
             if now - since < wait:
                 continue
             take.append(i)
             if p.owner:
-                guards.append((key, c.view.version(key)))
+                guards.append((key, controller.view.version(key)))
         # Each part taken is a change of its fence besides that of the split.
-        take = take[: c.settings.cluster.state.txn_ops - 1]
+        take = take[: controller.settings.cluster.state.txn_ops - 1]
         if take:
             self._taking = True
-            c.spawn(self._take(take, guards))
+            controller.spawn(self._take(take, guards))
         else:
             self._give(now, mine)
 
     def _create(self) -> Flow:
-        c = self.c
-        first = split.first(c.settings.cluster.size, c.settings.cluster.teams)
+        controller = self.controller
+        first = split.first(controller.settings.cluster.size, controller.settings.cluster.teams)
         put = Commit([(keys.SPLIT, 0)], [Put(keys.SPLIT, first)], lane=LEASE)
         r: StateResult = yield put
         if r.status == 200:
-            c.view.committed(put, r.rev)
+            controller.view.committed(put, r.rev)
         else:
             yield Sleep(0.3)
         self._taking = False
 
     def _take(self, parts: list[int], guards: list[tuple[str, int]]) -> Flow:
-        c = self.c
-        s = c.view.split
+        controller = self.controller
+        s = controller.view.split
         if s is not None:
-            new = split.take(s, parts, c.node, c.incarnation)
-            own = keys.NODES + c.node
+            new = split.take(s, parts, controller.node, controller.incarnation)
+            own = keys.NODES + controller.node
             ok = yield from self.commit_split(
-                new, parts, [*guards, (own, c.view.version(own))], c.view.version(keys.SPLIT)
+                new,
+                parts,
+                [*guards, (own, controller.view.version(own))],
+                controller.view.version(keys.SPLIT),
             )
             if ok is None:
-                self._take_doubt = c.view.version(keys.SPLIT)
-            c.log("info", f"took parts {parts}: {ok}")
+                self._take_doubt = controller.view.version(keys.SPLIT)
+            controller.log("info", f"took parts {parts}: {ok}")
         self._taking = False
 
     def commit_split(
@@ -365,14 +410,14 @@
         Parts in ``fenced`` get a new owner. Returns True, False, or None if the commit may
         yet be applied.
         """
-        c = self.c
+        controller = self.controller
         puts = [Put(keys.SPLIT, new)]
         puts += [Put(f"{keys.FENCES}{i}", new.parts[i].term) for i in fenced]
         commit = Commit([(keys.SPLIT, version), *guards], puts, lane=LEASE)
         r: StateResult = yield commit
         if r.status == 200:
-            c.view.committed(commit, r.rev)
-            c.sync()
+            controller.view.committed(commit, r.rev)
+            controller.sync()
             return True
         if r.status == 409:
             yield from self.refresh_split()
@@ -381,61 +426,51 @@
 
     def refresh_split(self) -> Step:
         """Read the split record afresh."""
-        c = self.c
-        r: StateResult = yield Get(keys.SPLIT, LEASE)
-        if r.status == 200:
-            c.view.take_in(keys.SPLIT, r.value, r.version)
-            c.sync()
-            return True
-        return False
+        return (yield from self._refresh_key(keys.SPLIT))
 
     def refresh_machine(self, key: str) -> Step:
         """Read a machine's membership afresh, for as long as that takes."""
-        c = self.c
-        while True:
-            r: StateResult = yield Get(key, LEASE)
-            if r.status == 200:
-                c.view.take_in(key, r.value, r.version)
-                c.sync()
-                return
-            if r.status == 404:
-                c.view.take_absence(key, r.rev)
-                c.sync()
-                return
+        while not (yield from self._refresh_key(key)):
             yield Sleep(0.3)
 
     def _give(self, now: float, mine: list[int]) -> None:
         """Hand parts back to nodes that have none, or away when the machines are out of reach."""
-        c = self.c
-        s = c.view.split
+        controller = self.controller
+        s = controller.view.split
         if s is None or now - self._last_given < self._pause:
             return
-        owned = {n: 0 for n in c.view.nodes}
+        owned = {n: 0 for n in controller.view.nodes}
         for p in s.parts:
             if p.owner in owned:
                 owned[p.owner] += 1
-        heard = [n for n in owned if n != c.node and now - c.heard.get(n, -1e9) < 3.0]
-        movable = [i for i in mine if c.acts(i) and now - c.parts[i].since > self.ttl]
-        if c.isolated(now):
+        heard = [
+            n for n in owned if n != controller.node and now - controller.heard.get(n, -1e9) < 3.0
+        ]
+        movable = [
+            i for i in mine if controller.acts(i) and now - controller.parts[i].since > self.ttl
+        ]
+        if controller.isolated(now):
             # Where all nodes have lost the machines, it is not this node's network; and while
             # the others are heard, only one that hears its machines can do better.
-            others = heard if heard else [n for n in owned if n != c.node]
-            others = [n for n in others if not heard or c.in_touch.get(n, False)]
+            others = heard if heard else [n for n in owned if n != controller.node]
+            others = [n for n in others if not heard or controller.in_touch.get(n, False)]
             if others and movable:
                 target = min(others, key=lambda n: (owned[n], n))
-                c.log("info", f"out of touch with the machines: giving part to {target}")
+                controller.log("info", f"out of touch with the machines: giving part to {target}")
                 # Without a part no worker turns to this node, whether or not it could: whether it
                 # is in touch again shows only when it is given one.
-                self._resting_until = now + REST_LEASES * c.settings.cluster.workers.lease_s
+                self._resting_until = (
+                    now + REST_LEASES * controller.settings.cluster.workers.lease_s
+                )
                 self._hand(movable[-1], target, now)
             return
         if len(mine) < 2 or not movable:
             return
         for n in sorted(heard):
             since = self.seen_since.get(n, (0, now))[1]
-            fit = c.in_touch.get(n, False) and now - since > SETTLE * self.ttl
+            fit = controller.in_touch.get(n, False) and now - since > SETTLE * self.ttl
             if owned[n] == 0 and fit:
-                part = next((i for i in movable if c.home(i) == n), movable[-1])
+                part = next((i for i in movable if controller.home(i) == n), movable[-1])
                 self._hand(part, n, now)
                 return
 
@@ -445,20 +480,20 @@
         quiet = now - self._last_given > 20 * self.ttl
         self._pause = 1.0 if quiet else min(2 * self._pause, 10 * self.ttl)
         self._last_given = now
-        self.c.spawn(self._hand_over(part, target))
+        self.controller.spawn(self._hand_over(part, target))
 
     def _hand_over(self, number: int, target: str) -> Flow:
-        c = self.c
-        part = c.parts.get(number)
+        controller = self.controller
+        part = controller.parts.get(number)
         if part is None or part.closing:
             return
         # From here on this node does not act for the part: the commit may be applied any time.
         part.closing = True
         doubt = -1
         tries = 0
-        while c.parts.get(number) is part and c.view.split is not None:
-            version = c.view.version(keys.SPLIT)
-            inc = c.view.nodes.get(target)
+        while controller.parts.get(number) is part and controller.view.split is not None:
+            version = controller.view.version(keys.SPLIT)
+            inc = controller.view.nodes.get(target)
             tries += 1
             if inc is None or tries > 20:
                 if doubt != version:
@@ -466,15 +501,15 @@
                     part.closing = False
                     return
                 # Take the part anew, so that the commit in doubt cannot be applied late.
-                target = c.node
-                inc = c.incarnation
-            new = split.take(c.view.split, [number], target, inc)
+                target = controller.node
+                inc = controller.incarnation
+            new = split.take(controller.view.split, [number], target, inc)
             key = keys.NODES + target
-            guards = [(key, c.view.version(key)), c.fence(number)]
+            guards = [(key, controller.view.version(key)), controller.fence(number)]
             ok = yield from self.commit_split(new, [number], guards, version)
             if ok:
                 return
             if ok is None:
                 doubt = version
                 yield from self.refresh_split()
-            yield Sleep(0.1 + 0.2 * c.rng.random())
+            yield Sleep(0.1 + 0.2 * controller.rng.random())
--- a/marblestair/core/byrecord.py
+++ b/marblestair/core/byrecord.py
@@ -27,14 +27,14 @@
 class ByRecord:
     """One node's use of job records in place of messages."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         self._writing: set[int] = set()
 
     def tick(self, acting: list[Part]) -> None:
         """Record complete slices whose managers hear nothing."""
-        c = self.c
-        limit = UNHEARD_REPORTS * c.settings.cluster.workers.report_s
+        controller = self.controller
+        limit = UNHEARD_REPORTS * controller.settings.cluster.workers.report_s
         for p in acting:
             if p.number in self._writing:
                 continue
@@ -42,40 +42,40 @@
             for job, s in p.slices.items():
                 if not s.size or s.done_count != s.size or s.cancelled or s.leaving:
                     continue
-                rec = c.view.jobs.get(job)
-                if rec is None or rec.cancelled or p.number in rec.complete:
+                record = controller.view.jobs.get(job)
+                if record is None or record.cancelled or p.number in record.complete:
                     continue
-                owner = c.owner(rec.manager)
-                if owner is None or owner == c.node:
+                owner = controller.owner(record.manager)
+                if owner is None or owner == controller.node:
                     continue
-                if c.now - c.heard.get(owner, c.started) > limit:
+                if controller.now - controller.heard.get(owner, controller.started) > limit:
                     jobs.append(job)
             if jobs:
                 self._writing.add(p.number)
-                c.spawn(self._record(p, jobs[: c.batch]))
+                controller.spawn(self._record(p, jobs[: controller.batch]))
 
     def _record(self, p: Part, jobs: list[str]) -> Flow:
-        c = self.c
+        controller = self.controller
         try:
-            guards, puts = [c.fence(p.number)], []
+            guards, puts = [controller.fence(p.number)], []
             for job in jobs:
-                rec, s = c.view.jobs.get(job), p.slices.get(job)
-                if rec is None or s is None or s.ranges != rec.slices.get(str(p.number)):
+                record, s = controller.view.jobs.get(job), p.slices.get(job)
+                if record is None or s is None or s.ranges != record.slices.get(str(p.number)):
                     continue
                 key = keys.JOBS + job
-                guards.append((key, c.view.version(key)))
-                complete = sorted({*rec.complete, p.number})
-                puts.append(Put(key, msgspec.structs.replace(rec, complete=complete)))
+                guards.append((key, controller.view.version(key)))
+                complete = sorted({*record.complete, p.number})
+                puts.append(Put(key, msgspec.structs.replace(record, complete=complete)))
             if puts:
                 commit = Commit(guards, puts, [], FINAL)
                 r: StateResult = yield commit
                 if r.status == 200:
-                    c.view.committed(commit, r.rev)
-                    c.sync()
+                    controller.view.committed(commit, r.rev)
+                    controller.sync()
                 else:
                     # One record that has moved on must not hold up the others.
                     for put in puts:
-                        yield from c.answers.read(put.key[len(keys.JOBS) :])
+                        yield from controller.answers.read(put.key[len(keys.JOBS) :])
                     yield Sleep(0.3)
         finally:
             self._writing.discard(p.number)
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -64,8 +64,8 @@
 class Cancels:
     """What one node knows of committed cancels, and how it has them applied."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         self._entries: dict[str, Entry] = {}
 
     # --- what is known ---------------------------------------------------------------------
@@ -76,30 +76,30 @@
 
     def learn(self, job: str, rev: int) -> Entry:
         """A cancel is committed: apply it to all that is held here, now and later."""
-        c = self.c
+        controller = self.controller
         e = self._entries.get(job)
         if e is None:
-            e = self._entries[job] = Entry(rev, c.now)
-            for p in c.parts.values():
-                p.cancel(job, c.now)
+            e = self._entries[job] = Entry(rev, controller.now)
+            for p in controller.parts.values():
+                p.cancel(job, controller.now)
         return e
 
     def changed(self, job: str) -> None:
         """A job's record changed in the view."""
-        rec = self.c.view.jobs.get(job)
-        if rec is None:
+        record = self.controller.view.jobs.get(job)
+        if record is None:
             e = self._entries.get(job)
-            if e is not None and self.c.view.rev >= e.rev:
+            if e is not None and self.controller.view.rev >= e.rev:
                 # Buried; its final state tells the rest.
                 del self._entries[job]
-        elif rec.cancelled:
-            self.learn(job, self.c.view.version(keys.JOBS + job))
+        elif record.cancelled:
+            self.learn(job, self.controller.view.version(keys.JOBS + job))
 
     def prune(self) -> None:
         """Forget entries of jobs that are over, which came late or ahead of the view."""
-        c = self.c
-        for job in [j for j, e in self._entries.items() if e.rev <= c.view.rev]:
-            if job not in c.view.jobs:
+        controller = self.controller
+        for job in [j for j, e in self._entries.items() if e.rev <= controller.view.rev]:
+            if job not in controller.view.jobs:
                 del self._entries[job]
 
     # --- what may be told ------------------------------------------------------------------
@@ -110,16 +110,18 @@
         None when that cannot be told, because owners may have changed before the entry was
         committed and are not in the view yet.
         """
-        c = self.c
-        e, rec, s = self._entries.get(job), c.view.jobs.get(job), c.view.split
-        if e is None or rec is None or s is None or c.view.rev < e.rev:
+        controller = self.controller
+        e, record, s = self._entries.get(job), controller.view.jobs.get(job), controller.view.split
+        if e is None or record is None or s is None or controller.view.rev < e.rev:
             return None
-        over = c.now - e.since > OVER_LEASES * c.settings.cluster.workers.lease_s
+        over = controller.now - e.since > OVER_LEASES * controller.settings.cluster.workers.lease_s
         out = []
         # The manager's owner, too: it may act by telling users of the job.
-        for number in {rec.manager, *map(int, rec.slices)}:
+        for number in {record.manager, *map(int, record.slices)}:
             part = s.parts[number]
-            if (part.owner, part.incarnation) == c.me or e.applied.get(number) == part.term:
+            if (part.owner, part.incarnation) == controller.me or e.applied.get(
+                number
+            ) == part.term:
                 continue
             if not over:
                 out.append(number)
@@ -132,8 +134,8 @@
             return False
         if not e.confirmed and self.missing(job) == []:
             self.confirm(job, e.rev)
-            for peer in self.c.settings.others:
-                self.c.tell(peer.node, "confirmed", [job, e.rev])
+            for peer in self.controller.settings.others:
+                self.controller.tell(peer.node, "confirmed", [job, e.rev])
         return e.confirmed
 
     def confirm(self, job: str, rev: int) -> None:
@@ -145,7 +147,7 @@
     def apply(self, job: str, rev: int) -> list[list[int]]:
         """Another node asks to apply an entry: the parts and terms for which that is done."""
         self.learn(job, rev)
-        return [[p.number, p.term] for p in self.c.acting()]
+        return [[p.number, p.term] for p in self.controller.acting()]
 
     def ask(self, job: str, heard_s: float = 1e9) -> Step:
         """Ask every owner that may lack the entry to apply it, the latest heard first.
@@ -153,14 +155,18 @@
         Owners that were not heard within ``heard_s`` are left out. Returns whether the
         cancel is confirmed.
         """
-        c = self.c
-        s, e = c.view.split, self._entries.get(job)
+        controller = self.controller
+        s, e = controller.view.split, self._entries.get(job)
         nodes: dict[str, None] = {}
         for p in self.missing(job) or ():
             if s is not None:
                 nodes[s.parts[p].owner] = None
-        for node in sorted(nodes, key=lambda n: (-c.heard.get(n, -1e9), n)):
-            if e is None or node == c.node or c.now - c.heard.get(node, -1e9) > heard_s:
+        for node in sorted(nodes, key=lambda n: (-controller.heard.get(n, -1e9), n)):
+            if (
+                e is None
+                or node == controller.node
+                or controller.now - controller.heard.get(node, -1e9) > heard_s
+            ):
                 continue
             got = yield PeerCall(node, "apply", [job, e.rev], APPLY_PEER_S)
             for pair in got if isinstance(got, list) else ():
@@ -169,13 +175,13 @@
 
     def settle(self, job: str, most_s: float) -> Step:
         """Have a committed cancel applied within some time; whether it is confirmed."""
-        c = self.c
-        until = c.now + most_s
+        controller = self.controller
+        until = controller.now + most_s
         while self.known(job):
             # A user waits: those that do not answer anyway are left to what goes on afterwards.
             if (yield from self.ask(job, UNHEARD_S)):
                 return True
-            if c.now >= until:
+            if controller.now >= until:
                 self.carry(job)
                 return False
             yield Sleep(0.05)
@@ -186,18 +192,18 @@
         e = self._entries.get(job)
         if e is None or e.confirmed or e.carried:
             return
-        mj = self.c.jobs.managed.get(job)
-        if mj is not None and mj.editing:
+        managed = self.controller.jobs.managed.get(job)
+        if managed is not None and managed.editing:
             return
         if sum(x.carried for x in self._entries.values()) < MOST_CARRIED:
             e.carried = True
-            self.c.spawn(self._carry(job, e))
+            self.controller.spawn(self._carry(job, e))
 
     def _carry(self, job: str, e: Entry) -> Flow:
-        c = self.c
-        until = c.now + CARRY_LEASES * c.settings.cluster.workers.lease_s
+        controller = self.controller
+        until = controller.now + CARRY_LEASES * controller.settings.cluster.workers.lease_s
         try:
-            while self._entries.get(job) is e and c.now < until and not e.confirmed:
+            while self._entries.get(job) is e and controller.now < until and not e.confirmed:
                 if (yield from self.ask(job)):
                     return
                 yield Sleep(0.5)
@@ -210,18 +216,20 @@
         A refused or silent connection shows nothing about the controller behind it, so nothing
         is taken from it; every owner that can read finds the entry by its watch.
         """
-        c = self.c
-        state = yield from c.answers.read(job)
-        rec = c.view.jobs.get(job)
-        if state is None or rec is None or rec.cancelled:
+        controller = self.controller
+        state = yield from controller.answers.read(job)
+        record = controller.view.jobs.get(job)
+        if state is None or record is None or record.cancelled:
             return
         key = keys.JOBS + job
-        new = msgspec.structs.replace(rec, changes=[*rec.changes, ["cancel", len(rec.changes) + 1]])
-        commit = Commit([(key, c.view.version(key))], [Put(key, new)], [], ACCEPT)
+        new = msgspec.structs.replace(
+            record, changes=[*record.changes, ["cancel", len(record.changes) + 1]]
+        )
+        commit = Commit([(key, controller.view.version(key))], [Put(key, new)], [], ACCEPT)
         r: StateResult = yield commit
         if r.status == 200:
-            c.view.committed(commit, r.rev)
-            c.sync()
+            controller.view.committed(commit, r.rev)
+            controller.sync()
         # In doubt or outrun: the next request reads the record afresh.
 
     # --- promises --------------------------------------------------------------------------
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -17,24 +17,24 @@
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.boots import BootTimes
 from marblestair.core.byrecord import ByRecord
-from marblestair.core.calls import Sleep
 from marblestair.core.cancels import Cancels
-from marblestair.core.demand import measure_demand, wanted_tasks
 from marblestair.core.dispatch import Dispatch
 from marblestair.core.faults import Faults
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
-from marblestair.core.messages import Command, Gossip, Note, Reply
+from marblestair.core.machine_moves import MachineMoves
+from marblestair.core.messages import Command, Note, PartSummary, Reply
 from marblestair.core.migrate import Migrations
-from marblestair.core.model import GANG, UNIT, MachineType, Order, Report
+from marblestair.core.migration_locks import MigrationLocks
+from marblestair.core.model import UNIT, MachineType, Order, Report
 from marblestair.core.part import Machine, Part
 from marblestair.core.preempt import Preemption
-from marblestair.core.progress import keep_progress, load_progress
 from marblestair.core.requests import Requests
-from marblestair.core.retiring import absent
 from marblestair.core.share_moves import ShareMoves
 from marblestair.core.shares import within_guarantee
+from marblestair.core.summary import summarise
+from marblestair.core.takeover import rebuild
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
@@ -72,7 +72,7 @@
         self.factor: dict[str, float] = {}
         #: class -> seconds by which it is served earlier, from the operators' policy
         self.lead_s: dict[str, float] = {}
-        self.gossip: dict[int, tuple[float, Gossip]] = {}
+        self.summaries: dict[int, tuple[float, PartSummary]] = {}
         self.heard: dict[str, float] = {}
         #: whether each other node last said that it hears its machines
         self.in_touch: dict[str, bool] = {}
@@ -88,6 +88,8 @@
         self.share_moves = ShareMoves(self)
         self.fleet = Fleet(self)
         self.migrations = Migrations(self)
+        self.migration_locks = MigrationLocks(self)
+        self.machine_moves = MachineMoves(self)
         self.preemption = Preemption(self)
         self.byrecord = ByRecord(self)
         self.dispatch = Dispatch(self)
@@ -208,10 +210,10 @@
         """
         if m.settled:
             return True
-        rec = self.view.machines.get(m.name)
-        if m.name not in part.suspects or rec is None or m.type is None:
+        record = self.view.machines.get(m.name)
+        if m.name not in part.suspects or record is None or m.type is None:
             return False
-        return self.wall - rec.since > BOOTED * m.type.boot_s
+        return self.wall - record.since > BOOTED * m.type.boot_s
 
     def in_touch_with_workers(self) -> bool:
         """Whether this node can be given parts, as far as it can tell."""
@@ -228,7 +230,7 @@
         if v.changed_machines:
             names, v.changed_machines = v.changed_machines, set()
             for name in sorted(names):
-                self._sync_machine(name)
+                self.sync_machine(name)
         jobs_changed = bool(v.changed_jobs)
         if jobs_changed:
             ids, v.changed_jobs = v.changed_jobs, set()
@@ -236,7 +238,7 @@
                 self.cancels.changed(job)
                 for p in self.parts.values():
                     if p.ready:
-                        self._sync_slice(p, job)
+                        self.sync_slice(p, job)
                 self.jobs.changed(job)
         if jobs_changed or self.faults.changed:
             self.faults.changed = False
@@ -246,90 +248,52 @@
         s = self.view.split
         if s is None:
             return
-        for i, rec in enumerate(s.parts):
+        for i, record in enumerate(s.parts):
             part = self.parts.get(i)
-            if (rec.owner, rec.incarnation) == self.me:
-                if part is not None and part.taken == rec.taken:
+            if (record.owner, record.incarnation) == self.me:
+                if part is not None and part.taken == record.taken:
                     # The same ownership; another owner may have raised the term, to move a
                     # machine into this part. What tells is in the record itself: the split may
                     # be read ahead of the rest of the view, and an ownership that ended and
                     # began again must not look like one.
-                    part.term = rec.term
+                    part.term = record.term
                 else:
-                    part = self._new_part(i, rec.term)
-                    part.taken = rec.taken
+                    part = self._new_part(i, record.term)
+                    part.taken = record.taken
                     self.parts[i] = part
                     rev = self.view.version(keys.SPLIT)
-                    self.runner.keep(partial(self._populate, part, rev))
+                    self.runner.keep(partial(rebuild, self, part, rev))
             elif part is not None:
                 del self.parts[i]
-                self.log("info", f"part {i} is now with {rec.owner}, term {rec.term}")
+                self.log("info", f"part {i} is now with {record.owner}, term {record.term}")
         self.jobs.parts_changed()
 
     def _new_part(self, number: int, term: int) -> Part:
         return Part(number, term, self.settings.cluster, self.now, self.faults, self.boots)
 
-    def _populate(self, part: Part, rev: int) -> Flow:
-        # Everything committed before the takeover must be in the view first: jobs, cancels,
-        # machines.
-        while self.view.rev < rev:
-            yield Sleep(0.02)
-            if self.parts.get(part.number) is not part:
-                return
-        pages = yield from load_progress(self, part)
-        if pages is None:
-            return
-        now = self.now
-        for name, m in self.view.machines.items():
-            if m.part == part.number:
-                self._sync_machine(name, part)
-                part.suspects.add(name)
-        for job in self.view.jobs:
-            self._sync_slice(part, job, part)
-        for job, numbered in pages.items():
-            s = part.slices.get(job)
-            for page, (bits, version) in numbered.items():
-                if s is None:
-                    part.trash[keys.progress(part.number, job, page)] = version
-                    continue
-                s.pages[page] = version
-                s.load_done(page, bits)
-        for s in part.slices.values():
-            s.suspect = bool(part.suspects)
-            if s.cancelled:
-                # Users may have been told before the earlier owner fell.
-                s.cancelled_at = now - self.authority.takeover_s
-        part.ready = True
-        self.log(
-            "info",
-            f"part {part.number} ready, term {part.term}: {len(part.machines)} machines,"
-            f" {len(part.slices)} jobs, {now - part.since:.2f} s after the takeover",
-        )
-        self.jobs.parts_changed()
-        self.runner.keep(lambda: keep_progress(self, part))
-        self.runner.keep(lambda: self.fleet.keep_part(part))
-
-    def _sync_machine(self, name: str, populating: Part | None = None) -> None:
-        rec = self.view.machines.get(name)
+    def sync_machine(self, name: str, populating: Part | None = None) -> None:
+        """Bring a machine of the parts here in line with the view, also of one being rebuilt."""
+        record = self.view.machines.get(name)
         for p in self.parts.values():
             if not p.ready and p is not populating:
                 continue
             m = p.machines.get(name)
-            if rec is None or rec.part != p.number:
+            if record is None or record.part != p.number:
                 if m is not None:
                     p.remove_machine(name, self.now)
             elif m is None:
-                m = Machine(name, rec.type, rec.zone, rec.spot, self.now)
-                m.set_type(self.types.get(rec.type))
+                m = Machine(name, record.type, record.zone, record.spot, self.now)
+                m.set_type(self.types.get(record.type))
                 p.add_machine(m)
 
-    def _sync_slice(self, p: Part, job: str, populating: Part | None = None) -> None:
+    def sync_slice(self, p: Part, job: str) -> None:
+        """Bring a part's slice of a job in line with the view."""
         s = p.slices.get(job)
-        rec = self.view.jobs.get(job)
-        if rec is None and s is not None:
+        record = self.view.jobs.get(job)
+        if record is None and s is not None:
             for page, version in s.pages.items():
                 p.trash[keys.progress(p.number, job, page)] = version
-        p.sync_job(rec, job, self.view.version(keys.JOBS + job), self.now)
+        p.sync_job(record, job, self.view.version(keys.JOBS + job), self.now)
         if job in p.slices and self.cancels.known(job):
             # Known ahead of the view: a slice that comes by an older record is over too.
             p.cancel(job, self.now)
@@ -360,14 +324,14 @@
         """A worker's report: status, token, orders, and the node to report to."""
         now = self.now
         self.authority.heard_worker()
-        rec = self.view.machines.get(rep.machine)
-        if rec is None:
+        record = self.view.machines.get(rep.machine)
+        if record is None:
             return self.fleet.stranger(rep)
-        owner = self.owner(rec.part)
+        owner = self.owner(record.part)
         if owner != self.node:
             return 421, 0, [], owner
-        part = self.parts.get(rec.part)
-        if part is None or not self.acts(rec.part):
+        part = self.parts.get(record.part)
+        if part is None or not self.acts(record.part):
             return 503, 0, [], None
         m = part.machines.get(rep.machine)
         if m is not None and m.type is None:
@@ -414,13 +378,13 @@
                 self.commands.append(Command(m.addr, p.term, m.session, orders))
             self.fleet.guard_cancels(p)
         self.jobs.tick()
-        self.migrations.tick()
+        self.migration_locks.tick()
         if now >= self._next_move:
             self._next_move = now + 0.4
             self._tell(acting)
             for p in acting:
                 self.migrations.look(p)
-                self.migrations.lend(p)
+                self.machine_moves.lend(p)
         if now >= self._next_slow:
             self._next_slow = now + 1.0
             self.cancels.prune()
@@ -429,95 +393,25 @@
     def _tell(self, acting: list[Part]) -> None:
         told = []
         for p in acting:
-            g = self.measure(p)
-            self.gossip[p.number] = (self.now, g)
-            told.append(msgspec.to_builtins(g))
+            summary = summarise(self, p)
+            self.summaries[p.number] = (self.now, summary)
+            told.append(msgspec.to_builtins(summary))
         args = [self.incarnation, told, self.in_touch_with_workers(), self.fleet.refusals()]
         for peer in self.settings.others:
-            self.tell(peer.node, "gossip", args)
-
-    def measure(self, p: Part) -> Gossip:
-        """What the others should know about a part."""
-        rooms = [
-            (m.type_name, m.zone, m.spot, m.free[0], m.free[1], m.free[2])
-            for m in p.machines.values()
-            if m.free[0] > 0 and m.usable(self.now) and not self.preemption.claimed(m)
-        ]
-        held = self.preemption.told(p)
-        demand = measure_demand(self, p)
-        shares = {}
-        for team in self.teams:
-            used, share = p.usage(team), self.share(p, team)
-            shares[team] = [max(0, share[i] - used[i]) for i in range(2)]
-        waiting = [
-            (job, wanted_tasks(self, s) + sum(b - a for a, b in s.leaving), len(s.placed))
-            for job, s in p.slices.items()
-            if (len(s.pending) or s.placed or s.leaving) and not s.cancelled
-        ]
-        with_gangs = {
-            m.name for s in p.slices.values() if s.spec.kind == GANG for m in s.placed.values()
-        }
-        away = absent(p, self.settings.cluster.workers.lease_s, self.now)
-        busy, idle, gangs, leaving = [], [], [], []
-        for m in p.machines.values():
-            gone = m.releasing or m.condemned or m.returning
-            if m.name in away and not gone:
-                continue
-            if gone or m.silent or m.deaf or m.notice_at is not None or self._is_overdue(m):
-                leaving.append(m.name)
-            elif m.draining:
-                # On its way to a gang's part: neither idle nor lost to the plan, which would rent
-                # once more what is there already.
-                continue
-            elif m.settled and m.idle_since is not None and not m.placed and not m.strays:
-                idle.append((m.name, round(self.now - m.idle_since, 2)))
-            elif m.name in with_gangs:
-                gangs.append(m.name)
-            elif m.type is not None and m.placed:
-                busy.append((m.name, m.type.size[0] - m.free[0]))
-        needs = [s.spec.id for s in self.dispatch.ordered(p) if self.migrations.homeless(p, s)]
-        return Gossip(
-            part=p.number,
-            term=p.term,
-            rooms=rooms,
-            held=held,
-            backlog=demand.backlog,
-            shares=shares,
-            wants=demand.wants,
-            waiting=waiting,
-            busy=busy,
-            idle=idle,
-            needs=needs,
-            gangs=gangs,
-            leaving=leaving,
-            absent=sorted(away),
-            stuck=demand.stuck,
-            failing=[x for x in self.faults.failing() if x[0] in p.slices],
-        )
-
-    def _is_overdue(self, m: Machine) -> bool:
-        """Whether a machine that was rented should have reported by now.
-
-        The time counts from its arrival in the part: after a takeover, or a move from another
-        part, it may have reported elsewhere. Were it left out until it reports here, the others
-        would rent machines in place of the whole part.
-        """
-        if m.session or m.type is None:
-            return False
-        return self.boots.is_overdue(m.type, self.now - m.added, self.now)
+            self.tell(peer.node, "summaries", args)
 
     def status(self) -> dict[str, Any]:
         """What this node sees and does, for operators."""
         split = self.view.split
         parts = []
-        for i, rec in enumerate(split.parts if split is not None else []):
-            heard, g = self.gossip.get(i, (None, None))
+        for i, record in enumerate(split.parts if split is not None else []):
+            heard, g = self.summaries.get(i, (None, None))
             parts.append(
                 {
                     "part": i,
-                    "owner": rec.owner,
-                    "term": rec.term,
-                    "shares_cpus": {t: x[0] / UNIT for t, x in rec.shares.items()},
+                    "owner": record.owner,
+                    "term": record.term,
+                    "shares_cpus": {t: x[0] / UNIT for t, x in record.shares.items()},
                     "backlog_cpus": g.backlog / UNIT if g is not None else None,
                     "told_s_ago": round(self.now - heard, 1) if heard is not None else None,
                     "machines": sum(m.part == i for m in self.view.machines.values()),
@@ -541,13 +435,13 @@
         """A one-way message from another node."""
         self.heard[node] = self.now
         try:
-            if tag == "gossip":
+            if tag == "summaries":
                 if self.view.nodes.get(node, args[0]) != args[0]:
                     # A late message of an earlier process, or one of a process not seen yet.
                     return
                 for raw in args[1]:
-                    g = msgspec.convert(raw, Gossip)
-                    self.gossip[g.part] = (self.now, g)
+                    g = msgspec.convert(raw, PartSummary)
+                    self.summaries[g.part] = (self.now, g)
                     self.faults.told(g.part, g.failing, self.now)
                 self.in_touch[node] = bool(args[2])
                 self.fleet.told_refusals(args[3])
@@ -574,7 +468,7 @@
             elif tag == "apply":
                 answer = self.cancels.apply(str(args[0]), int(args[1]))
             elif tag in ("lock", "update", "release"):
-                answer = yield from self.migrations.answer(tag, args)
+                answer = yield from self.migration_locks.answer(tag, args)
             elif tag == "status":
                 answer = self.status()
             elif tag == "promise":
@@ -583,6 +477,6 @@
                 answer = yield from self.jobs.arrive(str(args[0]), int(args[1]))
             elif tag == "entries":
                 answer = self.jobs.entries(str(args[0]), list(args[2]), int(args[3]))
-        except (IndexError, TypeError, ValueError) as e:
+        except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag}: {e}")
         self.peer_replies.append((request, answer))
--- a/marblestair/core/demand.py
+++ b/marblestair/core/demand.py
@@ -32,32 +32,32 @@
     stuck: dict[str, Amounts]
 
 
-def wanted_tasks(c: Controller, s: Slice) -> int:
+def wanted_tasks(controller: Controller, s: Slice) -> int:
     """Count the tasks of a slice that room is wanted for.
 
     A job that probably fails on every machine wants room for one task at a time; such a gang
     wants none and tries where there is room.
     """
     n = len(s.pending)
-    if n and c.faults.is_suspected(s.spec.id):
+    if n and controller.faults.is_suspected(s.spec.id):
         return int(s.spec.kind != GANG and not s.placed)
     return n
 
 
-def measure_demand(c: Controller, part: Part) -> Demand:
+def measure_demand(controller: Controller, part: Part) -> Demand:
     """Go through a part's waiting slices."""
     demand = Demand(0, {}, {})
     for s in part.slices.values():
-        n = wanted_tasks(c, s)
+        n = wanted_tasks(controller, s)
         if not n or s.cancelled:
             continue
         demand.backlog += n * s.need[0]
         _add(demand.wants, s, n)
         unit = n if s.spec.kind == GANG else 1
-        share = c.share(part, s.spec.team)
+        share = controller.share(part, s.spec.team)
         if unit * s.need[0] > share[0] or unit * s.need[1] > share[1]:
             demand.stuck.setdefault(s.spec.team, [unit * s.need[0], unit * s.need[1]])
-    demand.wants = _lacking(c, part, demand.wants)
+    demand.wants = _lacking(controller, part, demand.wants)
     return demand
 
 
@@ -67,11 +67,11 @@
     total[1] += tasks * s.need[1]
 
 
-def _lacking(c: Controller, part: Part, totals: dict[str, Amounts]) -> dict[str, Amounts]:
+def _lacking(controller: Controller, part: Part, totals: dict[str, Amounts]) -> dict[str, Amounts]:
     """What of the teams' totals is more than their shares leave free here."""
     out = {}
     for team, total in totals.items():
-        used, share = part.usage(team), c.share(part, team)
+        used, share = part.usage(team), controller.share(part, team)
         lack = [max(0, total[i] - max(0, share[i] - used[i])) for i in range(2)]
         if any(lack):
             out[team] = lack
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -56,8 +56,8 @@
 class Dispatch:
     """Placement on one node."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         self._queues: dict[int, Queue] = {}
         #: parts in which something new waits: the next report goes through all of it
         self.fresh: set[int] = set()
@@ -69,16 +69,20 @@
         They are put in order once for all that ask at the same moment.
         """
         at, order = self._ordered.get(part.number, (-1e9, []))
-        if at == self.c.now:
+        if at == self.controller.now:
             return [s for s in order if self._waits(part, s)]
         order = self._order(part)
-        self._ordered[part.number] = (self.c.now, order)
+        self._ordered[part.number] = (self.controller.now, order)
         return list(order)
 
     def _order(self, part: Part) -> list[Slice]:
-        wall, f = self.c.wall, self.c.factor
-        guaranteed, hopeless, lead = self.c.guaranteed, self.c.fleet.hopeless, self.c.lead_s
-        suspected = self.c.faults.is_suspected
+        wall, f = self.controller.wall, self.controller.factor
+        guaranteed, hopeless, lead = (
+            self.controller.guaranteed,
+            self.controller.fleet.hopeless,
+            self.controller.lead_s,
+        )
+        suspected = self.controller.faults.is_suspected
         waiting = [s for s in part.slices.values() if s.pending.count and not s.cancelled]
         waiting.sort(
             key=lambda s: order_key(
@@ -88,27 +92,27 @@
                 wall + lead.get(s.spec.cls, 0.0),
                 f.get(s.spec.cls, 1.0),
                 suspected(s.spec.id),
-                self.c.teams[s.spec.team].is_guest,
+                self.controller.teams[s.spec.team].is_guest,
             )
         )
         return waiting
 
     def place(self, part: Part) -> None:
         """Go through all that waits."""
-        now, wall = self.c.now, self.c.wall
+        now, wall = self.controller.now, self.controller.wall
         self.fresh.discard(part.number)
         queue = self._queues[part.number] = Queue()
         order = self.ordered(part)
         if not order:
             return
-        claims = self.c.preemption.claims
+        claims = self.controller.preemption.claims
         least = queue.least = min(s.need[0] for s in order)
         usable = [m for m in part.machines.values() if m.name not in claims and m.usable(now)]
         free = [m for m in usable if m.free[0] >= least]
         old = [s for s in order if wall - s.spec.at > BOUND_S]
         if old:
             self._help(part, old, usable, free, queue)
-            suspected = self.c.faults.is_suspected
+            suspected = self.controller.faults.is_suspected
             gangs = [s for s in old if s.spec.kind == GANG and not suspected(s.spec.id)]
             if gangs:
                 order = [*gangs, *(s for s in order if s not in gangs)]
@@ -123,8 +127,8 @@
         held: dict[str, list[int]] = {}
         #: team -> least that found no room under its share
         full: dict[str, int] = {}
-        survey = self.c.preemption.survey(part)
-        guest_tasks = GuestTasks(self.c, part)
+        survey = self.controller.preemption.survey(part)
+        guest_tasks = GuestTasks(self.controller, part)
         for s in order:
             if self._held_back(s):
                 continue
@@ -137,19 +141,19 @@
                 elif not self._room(part, s, held):
                     full[s.spec.team] = need
                     continue
-                if s.pending.count and s.spec.id in self.c.guaranteed:
+                if s.pending.count and s.spec.id in self.controller.guaranteed:
                     guest_tasks.stop_for(s, self._lack(part, s, held))
             elif (
                 not self._gang(part, s, free, held)
                 and not s.placed
-                and not self.c.faults.is_suspected(s.spec.id)
+                and not self.controller.faults.is_suspected(s.spec.id)
             ):
                 n = len(s.pending)
                 h = held.setdefault(s.spec.team, [0, 0])
-                if self.c.fleet.hurried(s.spec):
-                    share = self.c.share(part, s.spec.team)
+                if self.controller.fleet.hurried(s.spec):
+                    share = self.controller.share(part, s.spec.team)
                     ahead = (share[0] - h[0], share[1] - h[1])
-                    if self.c.preemption.clear(part, s, ahead, True, survey):
+                    if self.controller.preemption.clear(part, s, ahead, True, survey):
                         # What comes after it may not fill what is being cleared.
                         usable = [m for m in usable if m.name not in claims]
                         free = [m for m in free if m.name not in claims]
@@ -159,17 +163,17 @@
     def fill(self, part: Part, m: Machine) -> None:
         """Room has come up on a machine: fill it with the answer to this very report."""
         queue = self._queues.get(part.number)
-        now = self.c.now
+        now = self.controller.now
         if queue is None or m.free[0] < queue.least or not m.usable(now):
             return
-        claim = self.c.preemption.claims.get(m.name)
+        claim = self.controller.preemption.claims.get(m.name)
         if claim is not None:
             # What it was cleared for starts with this very answer, if all its machines are clear.
             gang = part.slices.get(claim[0])
             if gang is not None and self._waits(part, gang) and not gang.suspect:
                 self._gang(part, gang, None, {})
             return
-        if m.name in self.c.fleet.drained:
+        if m.name in self.controller.fleet.drained:
             return
         one = [m]
         for k, (s, most, least) in enumerate(queue.help):
@@ -196,7 +200,7 @@
                     continue
                 if free >= need[0] and self._gang(part, s, None, held):
                     continue
-                if self.c.faults.is_suspected(s.spec.id):
+                if self.controller.faults.is_suspected(s.spec.id):
                     continue
                 h = held.setdefault(team, [0, 0])
                 h[0] += len(s.pending) * need[0]
@@ -210,14 +214,14 @@
 
     def _held_back(self, s: Slice) -> bool:
         """Whether a slice may not start anything now, whatever room there is."""
-        return s.suspect or self.c.faults.must_wait(s.spec.id, self.c.now)
+        return s.suspect or self.controller.faults.must_wait(s.spec.id, self.controller.now)
 
     def _waits(self, part: Part, s: Slice) -> bool:
         """Whether a slice of the queue, which may be a moment old, still waits here."""
         return bool(s.pending.count) and not s.cancelled and part.slices.get(s.spec.id) is s
 
     def _share(self, part: Part, s: Slice, held: dict[str, list[int]]) -> tuple[int, int]:
-        share = self.c.share(part, s.spec.team)
+        share = self.controller.share(part, s.spec.team)
         h = held.get(s.spec.team)
         return share if h is None else (share[0] - h[0], share[1] - h[1])
 
@@ -240,46 +244,57 @@
         held: dict[str, list[int]],
         most: int = 1 << 30,
     ) -> int:
-        c = self.c
-        hurry = HURRY if s.spec.id in c.guaranteed else 1.0
+        controller = self.controller
+        hurry = HURRY if s.spec.id in controller.guaranteed else 1.0
         share = self._share(part, s, held)
-        if c.faults.is_suspected(s.spec.id):
+        if controller.faults.is_suspected(s.spec.id):
             if s.placed:
                 return 0
             # It tries with one task at a time.
             most = min(most, 1)
-        keep: Collection[str] = c.fleet.reserved.keys()
-        drain = c.fleet.drained
-        waited = c.now - s.waiting_since
+        keep: Collection[str] = controller.fleet.reserved.keys()
+        drain = controller.fleet.drained
+        waited = controller.now - s.waiting_since
         if keep and not s.placed and waited > BESIDE_S:
-            kept = c.fleet.reserved
+            kept = controller.fleet.reserved
             keep = {n for n, job in kept.items() if job and waited <= 2 * BESIDE_S}
             if not any(m.name not in kept and m.free[0] >= s.need[0] for m in free):
                 # One task is enough not to wait; the rest leaves the gang its machines.
                 most = min(most, 1)
-        avoided = c.faults.avoided(s.spec.id, c.now)
+        avoided = controller.faults.avoided(s.spec.id, controller.now)
         if avoided:
             keep = avoided.union(keep)
-        return place_array(part, s, share, usable, free, c.now, c.rng, keep, drain, hurry, most)
+        return place_array(
+            part, s, share, usable, free, controller.now, controller.rng, keep, drain, hurry, most
+        )
 
     def _gang(
         self, part: Part, s: Slice, free: list[Machine] | None, held: dict[str, list[int]]
     ) -> int:
         """Start a gang whole, if there is room, on ``free`` machines or on any."""
-        c = self.c
+        controller = self.controller
         need = s.need[0]
         machines = part.machines.values() if free is None else free
-        avoided = c.faults.avoided(s.spec.id, c.now)
+        avoided = controller.faults.avoided(s.spec.id, controller.now)
         options = [m for m in machines if m.free[0] >= need and m.name not in avoided]
         if free is not None:
             # Those that are claimed for this gang are not among them.
-            options += [m for m in c.preemption.claimed_for(part, s.spec.id) if m not in options]
-        n = place_gang(part, s, self._share(part, s, held), c.now, options, c.preemption.claimed)
+            options += [
+                m for m in controller.preemption.claimed_for(part, s.spec.id) if m not in options
+            ]
+        n = place_gang(
+            part,
+            s,
+            self._share(part, s, held),
+            controller.now,
+            options,
+            controller.preemption.claimed,
+        )
         if n:
-            c.log(
+            controller.log(
                 "info",
                 f"part {part.number} starts {s.spec.id}: gang of {s.spec.cls},"
-                f" {c.wall - s.spec.at:.1f} s after it was accepted",
+                f" {controller.wall - s.spec.at:.1f} s after it was accepted",
             )
         return n
 
@@ -296,23 +311,27 @@
         Of each team, what has not begun gets a few first tasks, and what is older still
         gets a share of the team's room.
         """
-        c = self.c
+        controller = self.controller
         held: dict[str, int] = {}
         left = queue.left
         #: teams that are owed a task of what is oldest
         owed: set[str] = set()
         for s in part.slices.values():
-            if s.placed and c.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
+            if s.placed and controller.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
                 held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
         begun = {s.spec.id: bool(s.placed or s.done_count) for s in old}
         for s in sorted(old, key=lambda s: (begun[s.spec.id], s.spec.at, s.spec.id)):
-            if s.spec.kind == GANG or self._held_back(s) or c.faults.is_suspected(s.spec.id):
+            if (
+                s.spec.kind == GANG
+                or self._held_back(s)
+                or controller.faults.is_suspected(s.spec.id)
+            ):
                 continue
-            if begun[s.spec.id] and c.wall - s.spec.at < OLD_S:
+            if begun[s.spec.id] and controller.wall - s.spec.at < OLD_S:
                 continue
             team, need = s.spec.team, s.need[0]
             if team not in left:
-                left[team] = int(OLD_SHARE * c.share(part, team)[0]) - held.get(team, 0)
+                left[team] = int(OLD_SHARE * controller.share(part, team)[0]) - held.get(team, 0)
             # A team of which nothing that old runs gets a task, however large.
             least = 0 if held.get(team) or team in owed else 1
             most = s.size
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -79,8 +79,8 @@
 class Fleet:
     """What this node does about machines."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         self.refused: dict[tuple[str, str, bool], float] = {}
         self._adopting: set[str] = set()
         self._returning: set[str] = set()
@@ -112,23 +112,23 @@
 
     def learn_types(self) -> Flow:
         """Know the machine types, from the state service first: the cloud may be down."""
-        c = self.c
+        controller = self.controller
         stored: dict[str, Any] = {}
         while True:
             r: StateResult = yield ListKeys(keys.TYPES, "", 1000)
             if r.status == 200:
                 stored = {i.key[len(keys.TYPES) :]: i.value for i in r.items}
                 if stored:
-                    c.set_types([msgspec.convert(v, MachineType) for v in stored.values()])
+                    controller.set_types([msgspec.convert(v, MachineType) for v in stored.values()])
                 break
-            yield Sleep(0.3 + 0.3 * c.rng.random())
+            yield Sleep(0.3 + 0.3 * controller.rng.random())
         while True:
             got: CloudResult = yield CloudTypes()
             if got.status == 200 and got.types:
-                c.set_types(got.types)
+                controller.set_types(got.types)
                 fresh = [t for t in got.types if t.name not in stored]
                 if fresh:
-                    batch = fresh[: c.settings.cluster.state.txn_ops]
+                    batch = fresh[: controller.settings.cluster.state.txn_ops]
                     puts = [Put(keys.TYPES + t.name, t) for t in batch]
                     # Each is written once, by whoever is first.
                     guards = [(p.key, 0) for p in puts]
@@ -141,36 +141,38 @@
                         stored.update((t.name, t) for t in batch)
                     yield Sleep(1.0)
                     continue
-                yield Sleep(60.0 + 30.0 * c.rng.random())
+                yield Sleep(60.0 + 30.0 * controller.rng.random())
             else:
-                yield Sleep((5.0 if c.types else 0.8) * (0.8 + 0.4 * c.rng.random()))
+                yield Sleep(
+                    (5.0 if controller.types else 0.8) * (0.8 + 0.4 * controller.rng.random())
+                )
 
     # --- strangers -------------------------------------------------------------------------
 
     def stranger(self, rep: Report) -> tuple[int, int, list[Order], str | None]:
         """A report of a machine that belongs to no part."""
-        c = self.c
-        if rep.machine in c.view.gone or rep.machine in self._returning:
+        controller = self.controller
+        if rep.machine in controller.view.gone or rep.machine in self._returning:
             return 503, 0, [], None
-        acting = c.acting()
-        s = c.view.split
+        acting = controller.acting()
+        s = controller.view.split
         if not acting or s is None:
             return 503, 0, [], None
         if rep.tasks:
             # Dropped from the split earlier, yet alive with tasks: it may not go on.
             self._returning.add(rep.machine)
-            c.spawn(self._return_strangers([rep.machine]))
+            controller.spawn(self._return_strangers([rep.machine]))
             return 503, 0, [], None
         count = [0] * len(s.parts)
-        for rec in c.view.machines.values():
-            count[rec.part] += 1
+        for record in controller.view.machines.values():
+            count[record.part] += 1
         best = min(acting, key=lambda p: (count[p.number], p.number))
         low = min(range(len(count)), key=lambda i: (count[i], i))
         if count[best.number] > count[low] + 1:
-            return 421, 0, [], c.owner(low)
+            return 421, 0, [], controller.owner(low)
         if rep.machine not in self._adopting:
             self._adopting.add(rep.machine)
-            c.spawn(self._take_in(rep, best))
+            controller.spawn(self._take_in(rep, best))
         return 503, 0, [], None
 
     def _take_in(self, rep: Report, part: Part) -> Flow:
@@ -189,17 +191,17 @@
         """Take a machine that nobody has into a part."""
         if name not in self._adopting:
             self._adopting.add(name)
-            self.c.spawn(self._adopt(name, type_name, zone, spot, part))
+            self.controller.spawn(self._adopt(name, type_name, zone, spot, part))
 
     def _adopt(self, name: str, type_name: str, zone: str, spot: bool, part: Part) -> Flow:
-        c = self.c
+        controller = self.controller
         key = keys.MACHINES + name
-        rec = MachineRecord(part.number, type_name, zone, spot, round(c.wall, 1))
-        commit = Commit([(key, 0), c.fence(part.number)], [Put(key, rec)], [], SPLIT)
+        record = MachineRecord(part.number, type_name, zone, spot, round(controller.wall, 1))
+        commit = Commit([(key, 0), controller.fence(part.number)], [Put(key, record)], [], SPLIT)
         r: StateResult = yield commit
         if r.status == 200:
-            c.view.committed(commit, r.rev)
-            c.sync()
+            controller.view.committed(commit, r.rev)
+            controller.sync()
         self._adopting.discard(name)
 
     def _return_strangers(self, names: list[str]) -> Flow:
@@ -210,34 +212,34 @@
 
     def keep_list(self) -> Flow:
         """Look through the cloud's list for machines that nobody has."""
-        c = self.c
-        lag = c.settings.cluster.cloud.list_lag_s
+        controller = self.controller
+        lag = controller.settings.cluster.cloud.list_lag_s
         first: dict[str, float] = {}
         pause = max(2.0, 1.2 * lag)
         while True:
-            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
-            silent = any(m.silent for p in c.acting() for m in p.machines.values())
-            if not c.acts(0) and not silent:
+            yield Sleep(pause * (0.8 + 0.4 * controller.rng.random()))
+            silent = any(m.silent for p in controller.acting() for m in p.machines.values())
+            if not controller.acts(0) and not silent:
                 continue
             listed = yield from self._list()
             if listed is None:
                 continue
             self._note_failed(listed)
-            if not c.acts(0):
+            if not controller.acts(0):
                 continue
-            part = c.parts[0]
-            first = {m.name: first.get(m.name, c.now) for m in listed}
+            part = controller.parts[0]
+            first = {m.name: first.get(m.name, controller.now) for m in listed}
             for m in listed:
-                known = m.name in c.view.machines or m.name in c.view.gone
+                known = m.name in controller.view.machines or m.name in controller.view.gone
                 # A rental under way is in nobody's part yet: leave its owner time to record it.
                 if known or m.name in self._adopting or m.age_s < 15.0 + 2 * lag:
                     continue
-                if c.now - first[m.name] < 2 * lag:
+                if controller.now - first[m.name] < 2 * lag:
                     # A machine that is gone is still listed for a while, and this process may
                     # not know that it went.
                     continue
                 if m.state == "failed":
-                    c.spawn(self._return_strangers([m.name]))
+                    controller.spawn(self._return_strangers([m.name]))
                 else:
                     self.adopt(m.name, m.type, m.zone, m.spot, part)
 
@@ -245,7 +247,7 @@
         """What has stopped by itself will not be back."""
         failed = {m.name for m in listed if m.state == "failed"}
         if failed:
-            for p in self.c.acting():
+            for p in self.controller.acting():
                 for m in p.machines.values():
                     # A machine that still reports is judged by that.
                     m.failed = m.failed or (m.silent and m.name in failed)
@@ -266,17 +268,17 @@
 
     def keep_part(self, part: Part) -> Flow:
         """Rent for the backlog, return what is idle or broken."""
-        c = self.c
-        c.spawn(self._finish_hires(part))
+        controller = self.controller
+        controller.spawn(self._finish_hires(part))
         pause = 1.0
-        while c.parts.get(part.number) is part:
-            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+        while controller.parts.get(part.number) is part:
+            yield Sleep(pause * (0.8 + 0.4 * controller.rng.random()))
             pause = 1.0
-            if not c.acts(part.number) or not c.types:
+            if not controller.acts(part.number) or not controller.types:
                 continue
-            now = c.now
+            now = controller.now
             self._account(part)
-            lease_s = c.settings.cluster.workers.lease_s
+            lease_s = controller.settings.cluster.workers.lease_s
             for name in absent(part, lease_s, now):
                 part.machines[name].awaited = True
             gone = broken(part, lease_s, now)
@@ -293,7 +295,9 @@
             for m in hollow(part, long, now)[:1]:
                 m.draining = m.returning = True
                 part.stop(list(m.placed.values()), "returned")
-                c.log("info", f"emptying {m.name}: {len(m.placed)} tasks run again elsewhere")
+                controller.log(
+                    "info", f"emptying {m.name}: {len(m.placed)} tasks run again elsewhere"
+                )
             leaving = [m for n in gone if not (m := part.machines[n]).releasing]
             if leaving:
                 yield from self._release(part, leaving[:MAX_RELEASE])
@@ -304,7 +308,7 @@
             full = True
             for want in plan.rent:
                 count = min(self._portion(part, want), MAX_RENT)
-                if count and c.acts(part.number):
+                if count and controller.acts(part.number):
                     got = yield from self._rent(part, msgspec.structs.replace(want, count=count))
                     full = full and got == count
             pause = 0.1 if much and not full else 1.0
@@ -315,25 +319,26 @@
         That is its even share, the parts with fewest machines first, or all where a gang
         waits here.
         """
-        c = self.c
+        controller = self.controller
         if want.part >= 0:
             return want.count if want.part == part.number else 0
-        s = c.view.split
+        s = controller.view.split
         if s is None:
             return 0
-        count = {n: 0 for n in range(len(s.parts)) if n in c.gossip}
-        for rec in c.view.machines.values():
-            if rec.part in count:
-                count[rec.part] += 1
+        count = {n: 0 for n in range(len(s.parts)) if n in controller.summaries}
+        for record in controller.view.machines.values():
+            if record.part in count:
+                count[record.part] += 1
         live = sorted(
-            (n for n in count if c.now - c.gossip[n][0] < 3.0), key=lambda n: (count[n], n)
+            (n for n in count if controller.now - controller.summaries[n][0] < 3.0),
+            key=lambda n: (count[n], n),
         )
         if part.number not in live:
             return 0
         return even(want.count, len(live))[live.index(part.number)]
 
     def _plan(self) -> Plan:
-        c = self.c
+        controller = self.controller
         pending: dict[str, list[int]] = {}
         idle: dict[str, float] = {}
         used: set[str] = set()
@@ -343,10 +348,10 @@
         at: dict[str, int] = {}
         # Through a takeover what was last told of a part still tells most; only of one that has
         # not been heard for longer are neither the work nor the machines counted.
-        limit = HEARD_LEASES * c.settings.cluster.workers.lease_s
-        fresh = {i for i, (t, _) in c.gossip.items() if c.now - t <= limit}
+        limit = HEARD_LEASES * controller.settings.cluster.workers.lease_s
+        fresh = {i for i, (t, _) in controller.summaries.items() if controller.now - t <= limit}
         for i in sorted(fresh):
-            t, g = c.gossip[i]
+            t, g = controller.summaries[i]
             for job, n, r in g.waiting:
                 x = pending.setdefault(job, [0, 0])
                 x[0] += n
@@ -355,24 +360,24 @@
             running.update(g.gangs)
             in_use.update(g.busy)
             for name, since in g.idle:
-                idle[name] = since + (c.now - t)
+                idle[name] = since + (controller.now - t)
             used.update(g.leaving)
             away.update(g.absent)
         loads = []
-        room: dict[str, float] = {t: team.cpu_limit for t, team in c.teams.items()}
+        room: dict[str, float] = {t: team.cpu_limit for t, team in controller.teams.items()}
         # What arrays hold of a limit comes free for a gang before long.
         gang_room = dict(room)
-        live = sorted(c.view.jobs.values(), key=lambda r: (r.spec.at, r.spec.id))
-        for rec in live:
-            spec = rec.spec
+        live = sorted(controller.view.jobs.values(), key=lambda r: (r.spec.at, r.spec.id))
+        for record in live:
+            spec = record.spec
             n, r = pending.get(spec.id, [0, 0])
             room[spec.team] = room.get(spec.team, 0.0) - r * spec.cpus
             if spec.kind == GANG:
                 gang_room[spec.team] = gang_room.get(spec.team, 0.0) - r * spec.cpus
-        for rec in live:
-            spec = rec.spec
+        for record in live:
+            spec = record.spec
             n, r = pending.get(spec.id, [0, 0])
-            if rec.cancelled or not n + r:
+            if record.cancelled or not n + r:
                 continue
             # More than the team's limit cannot run at once, whatever is rented.
             left = gang_room if spec.kind == GANG else room
@@ -381,18 +386,18 @@
                 n = 0 if wide < spec.tasks and not r else wide
             room[spec.team] -= wide * spec.cpus
             gang_room[spec.team] -= wide * spec.cpus if spec.kind == GANG else 0.0
-            run_s = max(1.0, spec.estimate_s * c.factor.get(spec.cls, 1.0))
-            passed = c.wall - spec.at
+            run_s = max(1.0, spec.estimate_s * controller.factor.get(spec.cls, 1.0))
+            passed = controller.wall - spec.at
             if spec.deadline_s is not None:
                 due = spec.deadline_s - passed
             else:
                 due = self.tuning.patience * run_s - passed
             loads.append(Load(spec, n, r, due, run_s, wide, at.get(spec.id, -1)))
         machines = []
-        for name, known in c.view.machines.items():
-            kind = c.types.get(known.type)
+        for name, known in controller.view.machines.items():
+            kind = controller.types.get(known.type)
             if kind is not None and name not in used and known.part in fresh:
-                age = c.wall - known.since
+                age = controller.wall - known.since
                 idle_s = idle.get(name, -1.0)
                 gang = name in running
                 machines.append(
@@ -413,7 +418,7 @@
         out = plan(
             loads,
             machines,
-            c.types,
+            controller.types,
             self._refused,
             self.usual,
             self.classes,
@@ -422,9 +427,9 @@
         )
         self.reserved, self.drained = out.reserved, out.drain
         self.hopeless = self._put_off(loads)
-        if c.now - self._logged.setdefault(-1, -1e9) > 10.0:
-            self._logged[-1] = c.now
-            c.log(
+        if controller.now - self._logged.setdefault(-1, -1e9) > 10.0:
+            self._logged[-1] = controller.now
+            controller.log(
                 "info",
                 f"plan: arrays need {out.target:.0f} cpus of {out.capacity:.0f},"
                 f" run on {sum(x.running * x.spec.cpus for x in loads):.0f}, wait for"
@@ -447,13 +452,13 @@
                 by_team.setdefault(team, []).append((x.due, left, x.spec.id))
         out: set[str] = set()
         for team, work in by_team.items():
-            limit = max(1.0, self.c.teams[team].cpu_limit - taken.get(team, 0.0))
+            limit = max(1.0, self.controller.teams[team].cpu_limit - taken.get(team, 0.0))
             out |= hopeless(work, 0.9 * limit)
         return out
 
     def _smooth(self, target: float) -> float:
-        now = self.c.now
-        boot = min((t.boot_s for t in self.c.types.values()), default=30.0)
+        now = self.controller.now
+        boot = min((t.boot_s for t in self.controller.types.values()), default=30.0)
         then, old = self._average
         if old is None:
             value = target
@@ -470,41 +475,41 @@
 
     def _note_classes(self, live: list[JobRecord]) -> None:
         """Remember which classes come, for what is kept ready for them."""
-        c = self.c
+        controller = self.controller
         soon: dict[str, float] = {}
-        for o in c.settings.cluster.objectives:
+        for o in controller.settings.cluster.objectives:
             if o.kind == "wait":
                 # A class may have several aims; the shortest tells whether a boot is too long.
                 soon[o.cls] = min(o.within_s, soon.get(o.cls, o.within_s))
         promised = min(
-            (o.within_s for o in c.settings.cluster.objectives if o.kind == "guarantee"),
+            (o.within_s for o in controller.settings.cluster.objectives if o.kind == "guarantee"),
             default=1e9,
         )
-        for rec in live:
-            spec = rec.spec
+        for record in live:
+            spec = record.spec
             if spec.id in self._noted:
                 continue
             self._noted[spec.id] = None
             while len(self._noted) > 2000:
                 self._noted.pop(next(iter(self._noted)))
             if spec.kind == GANG:
-                boots = [k.type.boot_s for k in kinds(spec, c.types)]
+                boots = [k.type.boot_s for k in kinds(spec, controller.types)]
                 wanted = soon.get(spec.cls)
                 hurry = wanted is not None and bool(boots) and wanted < 2 * min(boots)
                 hurry = hurry or (bool(boots) and promised < min(boots))
                 at = self._arrived.setdefault(spec.cls, deque(maxlen=RATE_JOBS))
                 at.append(spec.at)
-                span = c.wall - at[0] if len(at) == RATE_JOBS else RATE_S
-                per_s = sum(c.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
+                span = controller.wall - at[0] if len(at) == RATE_JOBS else RATE_S
+                per_s = sum(controller.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
                 self.classes[spec.cls] = Coming(spec, hurry, per_s)
-                self._seen[spec.cls] = c.now
-            elif not c.teams[spec.team].is_guest:
-                size = min(spec.tasks * spec.cpus, c.teams[spec.team].cpus)
+                self._seen[spec.cls] = controller.now
+            elif not controller.teams[spec.team].is_guest:
+                size = min(spec.tasks * spec.cpus, controller.teams[spec.team].cpus)
                 self.usual += 0.1 * (size - self.usual)
-                self._seen[""] = c.now
+                self._seen[""] = controller.now
         # What has not come for long is not kept ready for.
         for cls, t in list(self._seen.items()):
-            if c.now - t > 120.0:
+            if controller.now - t > 120.0:
                 del self._seen[cls]
                 self.classes.pop(cls, None)
                 if not cls:
@@ -512,7 +517,7 @@
 
     def _account(self, part: Part) -> None:
         """Where the money goes, in a log line about once a minute."""
-        now = self.c.now
+        now = self.controller.now
         then = self._accounted.get(part.number, now)
         self._accounted[part.number] = now
         spent = self._spent.setdefault(part.number, {})
@@ -538,7 +543,7 @@
         if now - self._logged.setdefault(part.number, now) >= 60.0 and total > 0:
             self._logged[part.number] = now
             split = ", ".join(f"{k} {v / total:.2f}" for k, v in sorted(spent.items()))
-            self.c.log(
+            self.controller.log(
                 "info",
                 f"part {part.number}: {len(part.machines)} machines,"
                 f" {sum(len(s.pending) for s in part.slices.values())} tasks waiting,"
@@ -547,7 +552,7 @@
             spent.clear()
 
     def _refused(self, k: Kind) -> bool:
-        return self.c.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
+        return self.controller.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
 
     def refusals(self) -> list[tuple[str, str, bool, float]]:
         """List kinds that the cloud has none of, and for how long they are not asked for.
@@ -555,25 +560,27 @@
         They are told to the others, so that each does not have to learn it by a request of
         its own.
         """
-        now = self.c.now
+        now = self.controller.now
         return [(*k, round(t - now, 2)) for k, t in sorted(self.refused.items()) if t > now]
 
     def told_refusals(self, told: list[Any]) -> None:
         """What another controller was refused."""
         for type_name, zone, spot, left in told:
             kind = (str(type_name), str(zone), bool(spot))
-            until = self.c.now + min(float(left), 300.0)
+            until = self.controller.now + min(float(left), 300.0)
             self.refused[kind] = max(until, self.refused.get(kind, -1e9))
 
     def _rent(self, part: Part, want: Want) -> Step:
         """Rent machines; how many the cloud gave, all of them where that is not known."""
-        c = self.c
+        controller = self.controller
         self._hires += 1
         name = f"r-{part.term}-{self._hires}"
         key = keys.hire(part.number, name)
-        intent = RentalIntent(want.type, want.zone, want.spot, want.count, round(c.wall, 1))
+        intent = RentalIntent(
+            want.type, want.zone, want.spot, want.count, round(controller.wall, 1)
+        )
         r: StateResult = yield Commit(
-            [(key, 0), c.fence(part.number)], [Put(key, intent)], [], SPLIT
+            [(key, 0), controller.fence(part.number)], [Put(key, intent)], [], SPLIT
         )
         if r.status != 200:
             if r.status == 0:
@@ -583,7 +590,7 @@
 
     def _hire(self, part: Part, name: str, want: Want, intent: int) -> Step:
         """Rent under a recorded name, for as long as it takes to know the answer; how many."""
-        c = self.c
+        controller = self.controller
         key = keys.hire(part.number, name)
         pause = 0.5
         while True:
@@ -591,22 +598,26 @@
             if got.status == 200:
                 break
             if got.status in (400, 503) and (got.no_capacity or got.status == 400):
-                t = c.types.get(want.type)
+                t = controller.types.get(want.type)
                 boot = t.boot_s if t is not None else 30.0
-                self.refused[(want.type, want.zone, want.spot)] = c.now + max(5.0, 0.5 * boot)
+                self.refused[(want.type, want.zone, want.spot)] = controller.now + max(
+                    5.0, 0.5 * boot
+                )
                 part.trash[key] = intent
                 return 0
-            if c.parts.get(part.number) is not part:
+            if controller.parts.get(part.number) is not part:
                 return 0
-            yield Sleep(pause * (0.8 + 0.4 * c.rng.random()))
+            yield Sleep(pause * (0.8 + 0.4 * controller.rng.random()))
             pause = min(4.0, pause * 1.6)
-        c.log("info", f"rented {got.machines} as {name}: {want.type} {want.zone} {want.spot}")
+        controller.log(
+            "info", f"rented {got.machines} as {name}: {want.type} {want.zone} {want.spot}"
+        )
         names = list(got.machines)
         count = len(names)
-        ops = max(1, c.batch - 1)
+        ops = max(1, controller.batch - 1)
         if len(names) < want.count:
-            t = c.types.get(want.type)
-            self.refused[(want.type, want.zone, want.spot)] = c.now + 0.5 * (
+            t = controller.types.get(want.type)
+            self.refused[(want.type, want.zone, want.spot)] = controller.now + 0.5 * (
                 t.boot_s if t is not None else 30.0
             )
         while names:
@@ -614,30 +625,36 @@
             puts = [
                 Put(
                     keys.MACHINES + n,
-                    MachineRecord(part.number, want.type, want.zone, want.spot, round(c.wall, 1)),
+                    MachineRecord(
+                        part.number, want.type, want.zone, want.spot, round(controller.wall, 1)
+                    ),
                 )
                 for n in batch
             ]
             # A try that is carried out only after the machine was given back again leaves a
             # record of a machine that never reports: it is dropped like one that fell.
             guards = [(p.key, 0) for p in puts]
-            guards += [c.fence(part.number), (key, intent)]
+            guards += [controller.fence(part.number), (key, intent)]
             commit = Commit(guards, puts, [] if rest else [key], SPLIT)
             r: StateResult = yield commit
             if r.status == 200:
-                c.view.committed(commit, r.rev)
-                c.sync()
+                controller.view.committed(commit, r.rev)
+                controller.sync()
                 names = rest
                 continue
-            if c.parts.get(part.number) is not part:
+            if controller.parts.get(part.number) is not part:
                 return count
             if r.status == 409:
                 # Recorded by an earlier try, or adopted by somebody in between.
-                names = [n for n in names if n not in c.view.machines and n not in c.view.gone]
+                names = [
+                    n
+                    for n in names
+                    if n not in controller.view.machines and n not in controller.view.gone
+                ]
                 if not names:
                     part.trash[key] = None
                     return count
-            yield Sleep(0.2 + 0.2 * c.rng.random())
+            yield Sleep(0.2 + 0.2 * controller.rng.random())
         return count
 
     def _finish_hires(self, part: Part) -> Flow:
@@ -647,16 +664,16 @@
         intents were refused, or their machines are recorded, listed or reporting by now;
         sending them again would rent machines that nobody needs any more.
         """
-        c = self.c
+        controller = self.controller
         prefix = f"{keys.HIRES}{part.number}/"
         after = ""
-        while c.parts.get(part.number) is part:
+        while controller.parts.get(part.number) is part:
             r: StateResult = yield ListKeys(prefix, after, 200)
             if r.status != 200:
                 yield Sleep(0.5)
                 continue
             for item in r.items:
-                if c.parts.get(part.number) is not part:
+                if controller.parts.get(part.number) is not part:
                     return
                 name = item.key[len(prefix) :]
                 if not name.startswith(f"r-{part.term}-"):
@@ -667,8 +684,8 @@
 
     def _finish_hire(self, part: Part, name: str, item: Item) -> Step:
         intent = msgspec.convert(item.value, RentalIntent)
-        lease_s = self.c.settings.cluster.workers.lease_s
-        if intent.at is not None and self.c.wall - intent.at > RECENT_LEASES * lease_s:
+        lease_s = self.controller.settings.cluster.workers.lease_s
+        if intent.at is not None and self.controller.wall - intent.at > RECENT_LEASES * lease_s:
             part.trash[item.key] = item.version
             return
         want = Want(intent.type, intent.zone, intent.spot, intent.count)
@@ -676,45 +693,45 @@
 
     def _release(self, part: Part, machines: list[Machine]) -> Step:
         """Give machines back. Their tasks are gone once the cloud has said so, not before."""
-        c = self.c
+        controller = self.controller
         for m in machines:
             m.releasing = True
         names = [m.name for m in machines]
-        c.log("info", f"releasing {names}")
+        controller.log("info", f"releasing {names}")
         r: CloudResult = yield CloudDelete(names)
         if r.status != 200:
             for m in machines:
                 # A late copy of the request may still take the machine; it is asked for again.
                 m.releasing = m.condemned
-                m.idle_since = m.idle_since if m.placed else c.now
+                m.idle_since = m.idle_since if m.placed else controller.now
             yield Sleep(0.5)
             return
-        c.spawn(self._drop(part, names))
+        controller.spawn(self._drop(part, names))
 
     def _drop(self, part: Part, names: list[str]) -> Flow:
-        c = self.c
-        now = c.now
+        controller = self.controller
+        now = controller.now
         for n in names:
             m = part.machines.get(n)
             if m is not None:
                 part.forget_tasks(m, now)
-            c.view.gone[n] = None
-        ops = c.batch
-        while names and c.parts.get(part.number) is part:
-            names = [n for n in names if n in c.view.machines]
+            controller.view.gone[n] = None
+        ops = controller.batch
+        while names and controller.parts.get(part.number) is part:
+            names = [n for n in names if n in controller.view.machines]
             drop = [keys.MACHINES + n for n in names[:ops]]
-            guards = [(k, c.view.version(k)) for k in drop]
-            commit = Commit([c.fence(part.number), *guards], [], drop, FINAL)
+            guards = [(k, controller.view.version(k)) for k in drop]
+            commit = Commit([controller.fence(part.number), *guards], [], drop, FINAL)
             r: StateResult = yield commit
             if r.status == 200:
-                c.view.committed(commit, r.rev)
-                c.sync()
+                controller.view.committed(commit, r.rev)
+                controller.sync()
                 names = names[ops:]
             else:
                 if r.status in (0, 409):
                     for key in drop:
-                        yield from c.authority.refresh_machine(key)
-                yield Sleep(0.3 + 0.3 * c.rng.random())
+                        yield from controller.authority.refresh_machine(key)
+                yield Sleep(0.3 + 0.3 * controller.rng.random())
 
     # --- cancels ---------------------------------------------------------------------------
 
@@ -724,11 +741,11 @@
         Without 200 answers the worker's lease ends, and the machine is released, so that
         both the lease and the cloud end the task.
         """
-        now = self.c.now
-        half = self.c.settings.cluster.workers.cancel_s / 2
+        now = self.controller.now
+        half = self.controller.settings.cluster.workers.cancel_s / 2
         for s in part.slices.values():
             if s.cancelled and s.placed and now - s.cancelled_at > half:
                 for m in s.placed.values():
                     if not m.condemned:
                         m.condemned = True
-                        self.c.log("info", f"{m.name} does not stop a cancelled task")
+                        self.controller.log("info", f"{m.name} does not stop a cancelled task")
--- a/marblestair/core/guests.py
+++ b/marblestair/core/guests.py
@@ -22,23 +22,23 @@
 class GuestTasks:
     """The guests' tasks in a part, as one look through all that waits finds them."""
 
-    def __init__(self, c: Controller, part: Part) -> None:
+    def __init__(self, controller: Controller, part: Part) -> None:
         self._part = part
         self._running: list[tuple[float, Placed, Machine]] = []
         #: room that comes up by stops under way and that nobody counts on yet
         self._coming = 0
         self._spare = 0
-        guests = {name for name, team in c.teams.items() if team.is_guest}
+        guests = {name for name, team in controller.teams.items() if team.is_guest}
         if not guests:
             return
         capacity = 0
         for m in part.machines.values():
-            if not m.usable(c.now) or m.type is None:
+            if not m.usable(controller.now) or m.type is None:
                 continue
             capacity += m.type.size[0]
             for p in m.placed.values():
                 if p.team in guests:
-                    self._add(p, m, c.now)
+                    self._add(p, m, controller.now)
         self._spare = sum(p.need[0] for _, p, _ in self._running) - int(GUEST_FLOOR * capacity)
         self._running.sort(key=lambda found: found[0])
 
--- /dev/null
+++ b/marblestair/core/machine_moves.py
@@ -0,0 +1,139 @@
+"""Moves of idle machines into the part of a gang that fits into no part as it is."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.calls import SPLIT, Commit, Put, Sleep, StateResult
+from marblestair.core.flow import Flow
+from marblestair.core.model import GANG, JobSpec
+from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.placement import allowed, gang_fits, room, rooms_for
+from marblestair.core.split import raise_term
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+    from marblestair.core.messages import PartSummary
+
+
+class MachineMoves:
+    """The machines that one node's parts give to others."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        self._is_moving = False
+
+    def homeless(self, part: Part, s: Slice) -> bool:
+        """Whether tasks that must start together have waited here for room in vain."""
+        whole = s.spec.kind == GANG or s.spec.one_zone or s.spec.spread
+        waited = (
+            self._controller.now - s.waiting_since
+            > 1.5 * self._controller.settings.cluster.workers.report_s
+        )
+        if self._controller.faults.is_suspected(s.spec.id):
+            return False
+        return whole and waited and not (s.placed or s.leaving or s.suspect or s.cancelled)
+
+    def lend(self, part: Part) -> None:
+        """Move an idle machine into the part of a gang that fits into no part as it is."""
+        controller = self._controller
+        split = controller.view.split
+        if self._is_moving or split is None or part.suspects:
+            return
+        empty = [m for m in part.machines.values() if not m.placed and m.usable(controller.now)]
+        if not empty:
+            return
+        own = [s.spec for s in controller.dispatch.ordered(part) if self.homeless(part, s)]
+        first = min(((x.at, x.id) for x in own), default=(float("inf"), ""))
+        for i, (t, g) in sorted(controller.summaries.items()):
+            if i == part.number or controller.now - t > 2.0 or g.term != split.parts[i].term:
+                continue
+            for job in g.needs:
+                record = controller.view.jobs.get(job)
+                if record is None or record.cancelled or (record.spec.at, record.spec.id) > first:
+                    continue
+                move = self._idle_for(empty, record.spec, g)
+                if move:
+                    self._is_moving = True
+                    for m in move:
+                        m.draining = True
+                    controller.spawn(self._move(part, move, i))
+                    return
+
+    def _idle_for(self, empty: list[Machine], spec: JobSpec, g: PartSummary) -> list[Machine]:
+        """Choose idle machines here that help a job in another part, if that is what it lacks.
+
+        Those that the plan sets aside for it, else one that is set aside for nobody.
+        """
+        controller, need = self._controller, spec.need
+        idle = [m for m in empty if allowed(spec, m) and room(m, need)]
+        aside = [m for m in idle if controller.fleet.reserved.get(m.name) == spec.id]
+        if aside:
+            return aside[: max(1, controller.settings.cluster.state.txn_ops - 1)]
+        idle = [m for m in idle if not controller.preemption.claimed(m, spec.id)]
+        if spec.one_zone and idle:
+            # All in the zone where most room can be brought together.
+            zones = rooms_for(spec, need, g.rooms)
+            for _, other in controller.summaries.values():
+                if other.part != g.part:
+                    zones += rooms_for(spec, need, other.rooms)
+            best = min(zones, key=lambda z: (-zones[z], z), default="")
+            idle = [m for m in idle if m.zone == best]
+        if not idle or gang_fits(spec, need, g.rooms, spec.tasks):
+            return []
+        return [min(idle, key=lambda m: (m.type.price if m.type else 0.0, m.name))]
+
+    def _move(self, part: Part, machines: list[Machine], target: int) -> Flow:
+        """Move idle and settled machines to another part.
+
+        The source drops them first, and the target's term rises in the same commit, so that
+        the tokens a machine sees only grow.
+        """
+        controller = self._controller
+        doubt, tries = -1, 0
+        try:
+            while controller.parts.get(part.number) is part:
+                split = controller.view.split
+                here = [
+                    m
+                    for m in machines
+                    if part.machines.get(m.name) is m
+                    and not m.placed
+                    and m.name in controller.view.machines
+                ]
+                if split is None or not here:
+                    return
+                version = controller.view.version(keys.SPLIT)
+                if doubt >= 0 and doubt != version:
+                    # Whatever was sent is applied, or cannot be any more.
+                    for m in machines:
+                        yield from controller.authority.refresh_machine(keys.MACHINES + m.name)
+                    return
+                tries += 1
+                if doubt < 0 and (tries > 4 or not controller.acts(part.number)):
+                    return
+                puts = [Put(keys.SPLIT, raise_term(split, target))]
+                guards = [(keys.SPLIT, version), controller.fence(part.number)]
+                for m in here:
+                    key = keys.MACHINES + m.name
+                    record = controller.view.machines[m.name]
+                    puts.append(Put(key, msgspec.structs.replace(record, part=target)))
+                    guards.append((key, controller.view.version(key)))
+                commit = Commit(guards, puts, [], SPLIT)
+                r: StateResult = yield commit
+                if r.status == 200:
+                    controller.view.committed(commit, r.rev)
+                    controller.sync()
+                    return
+                if r.status == 0:
+                    doubt = version
+                if r.status in (0, 409):
+                    yield from controller.authority.refresh_split()
+                yield Sleep(0.1 + 0.2 * controller.rng.random())
+        finally:
+            for m in machines:
+                m.draining = False
+            self._is_moving = False
--- a/marblestair/core/messages.py
+++ b/marblestair/core/messages.py
@@ -39,7 +39,7 @@
     args: list[Any]
 
 
-class Gossip(msgspec.Struct, array_like=True):
+class PartSummary(msgspec.Struct, array_like=True):
     """What a node tells the others about one of its parts."""
 
     part: int
--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -154,9 +154,9 @@
 DESCRIPTION, RECORD = 0.6, 0.95
 
 
-def too_large(rec: JobRecord, value_kb: float, share: float) -> bool:
+def too_large(record: JobRecord, value_kb: float, share: float) -> bool:
     """Whether a record takes more than a share of what the state service keeps in one value."""
-    return len(msgspec.msgpack.encode(rec)) > share * value_kb * 1024
+    return len(msgspec.msgpack.encode(record)) > share * value_kb * 1024
 
 
 def finite(*values: float | None) -> bool:
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -373,12 +373,12 @@
 
     # --- jobs ------------------------------------------------------------------------------
 
-    def sync_job(self, rec: JobRecord | None, job: str, version: int, now: float) -> None:
+    def sync_job(self, record: JobRecord | None, job: str, version: int, now: float) -> None:
         """Follow a job's record: slices gained or lost, cancels, and its end."""
         s = self.slices.get(job)
-        ranges = rec.slices.get(str(self.number), []) if rec is not None else []
-        if rec is None or (not ranges and s is None):
-            if rec is None and s is not None:
+        ranges = record.slices.get(str(self.number), []) if record is not None else []
+        if record is None or (not ranges and s is None):
+            if record is None and s is not None:
                 for i, m in list(s.placed.items()):
                     p = m.placed.get((job, i))
                     if p is not None and p.grace is None:
@@ -386,7 +386,7 @@
                 del self.slices[job]
             return
         if s is None:
-            s = self.slices[job] = Slice(rec.spec)
+            s = self.slices[job] = Slice(record.spec)
             s.waiting_since = now
         if ranges != s.ranges:
             old = Ranges(s.ranges)
@@ -417,7 +417,7 @@
                     del self.slices[job]
                     return
         s.version = version
-        if rec.cancelled:
+        if record.cancelled:
             self.cancel(job, now)
 
     def cancel(self, job: str, now: float) -> None:
--- a/marblestair/core/preempt.py
+++ b/marblestair/core/preempt.py
@@ -38,7 +38,7 @@
         out = self._machines.get(level)
         if out is None:
             out = self._machines[level] = []
-            now = self.preemption.c.now
+            now = self.preemption.controller.now
             for m in self.part.machines.values():
                 if not m.usable(now):
                     continue
@@ -54,7 +54,7 @@
     def _tasks(self, team: str, level: int) -> list[tuple[float, Placed]]:
         found = self._teams.get((team, level))
         if found is None:
-            now = self.preemption.c.now
+            now = self.preemption.controller.now
             found = []
             for other in self.part.slices.values():
                 if other.spec.team != team or PRIORITIES[other.spec.priority] >= level:
@@ -103,8 +103,8 @@
 class Preemption:
     """Claims of machines on one node, and the choice of what is stopped."""
 
-    def __init__(self, c: Controller) -> None:
-        self.c = c
+    def __init__(self, controller: Controller) -> None:
+        self.controller = controller
         #: machine -> job that it is cleared for, and until when
         self.claims: dict[str, tuple[str, float]] = {}
 
@@ -113,18 +113,18 @@
         claim = self.claims.get(m.name)
         if claim is not None:
             return claim[0] != job
-        kept = self.c.fleet.reserved.get(m.name, "")
-        return kept not in ("", job) and kept in self.c.view.jobs
+        kept = self.controller.fleet.reserved.get(m.name, "")
+        return kept not in ("", job) and kept in self.controller.view.jobs
 
     def tick(self) -> None:
         """Drop claims of jobs that have started or gone, and those that have lapsed."""
-        c = self.c
+        controller = self.controller
         for name, (job, until) in list(self.claims.items()):
             waits = any(
                 name in p.machines and (s := p.slices.get(job)) is not None and not s.placed
-                for p in c.parts.values()
+                for p in controller.parts.values()
             )
-            if not waits or c.now > until:
+            if not waits or controller.now > until:
                 del self.claims[name]
 
     def _victims(self, part: Part, m: Machine, level: int) -> list[Placed]:
@@ -162,8 +162,8 @@
         team's share is what it lacks. With ``act`` the machines are claimed and the work is
         stopped.
         """
-        c = self.c
-        now, job, n, spec, need = c.now, s.spec.id, len(s.pending), s.spec, s.need
+        controller = self.controller
+        now, job, n, spec, need = controller.now, s.spec.id, len(s.pending), s.spec, s.need
         if any(claim[0] == job for claim in self.claims.values()):
             return True
         level = PRIORITIES[spec.priority]
@@ -204,7 +204,7 @@
             return False
         if act:
             part.stop(own, "preempted")
-            until = now + CLAIM_REPORTS * c.settings.cluster.workers.report_s
+            until = now + CLAIM_REPORTS * controller.settings.cluster.workers.report_s
             for name, victims in chosen:
                 self.claims[name] = (job, until)
                 part.stop(victims, "preempted")
@@ -213,14 +213,14 @@
 
     def told(self, part: Part) -> list[Room]:
         """Room that a hurried class could have here by stopping lower-priority work."""
-        c = self.c
-        coming: list[JobSpec] = [k.spec for k in c.fleet.classes.values() if k.hurry]
+        controller = self.controller
+        coming: list[JobSpec] = [k.spec for k in controller.fleet.classes.values() if k.hurry]
         if not coming:
             return []
         level = max(PRIORITIES[x.priority] for x in coming)
         out: list[Room] = []
         for m in part.machines.values():
-            if not m.placed or not m.usable(c.now) or self.claimed(m):
+            if not m.placed or not m.usable(controller.now) or self.claimed(m):
                 continue
             if not any(allowed(x, m) for x in coming):
                 continue
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from marblestair.core import keys
 from marblestair.core.calls import LEASE, PROGRESS, Commit, Get, ListKeys, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
@@ -23,18 +25,20 @@
 SHARE = 0.35
 #: of so many turns one is left to deleting what is of no use, however much progress there is
 SWEEP_EVERY = 5
+#: pause between two batches, at the least
+LEAST_PAUSE_S = 0.7
 
 
-def load_progress(c: Controller, part: Part) -> Step:
+def load_progress(controller: Controller, part: Part) -> Step:
     """All pages of a part: job -> page -> (bits, version); None when the part was lost."""
     out: dict[str, dict[int, tuple[int, int]]] = {}
     prefix = f"{keys.PROGRESS}{part.number}/"
     after = ""
-    while c.parts.get(part.number) is part:
+    while controller.parts.get(part.number) is part:
         # Until it is read no worker of the part gets an answer: it must not wait behind users.
         r: StateResult = yield ListKeys(prefix, after, 500, LEASE)
         if r.status != 200:
-            yield Sleep(0.1 + 0.2 * c.rng.random())
+            yield Sleep(0.1 + 0.2 * controller.rng.random())
             continue
         for i in r.items:
             job, _, page = i.key[len(prefix) :].rpartition("/")
@@ -66,7 +70,7 @@
     return out
 
 
-def _sweep(c: Controller, part: Part, ops: int) -> Step:
+def _sweep(controller: Controller, part: Part, ops: int) -> Step:
     """Delete keys that are of no use; returns the number of changes sent.
 
     Each is guarded on its version: a deletion that is carried out late must not take what has
@@ -88,7 +92,9 @@
     drop = dict(list(drop.items())[:ops])
     if not drop:
         return 0
-    r: StateResult = yield Commit([c.fence(part.number), *drop.items()], [], list(drop), PROGRESS)
+    r: StateResult = yield Commit(
+        [controller.fence(part.number), *drop.items()], [], list(drop), PROGRESS
+    )
     for key in drop:
         if r.status == 200:
             part.trash.pop(key, None)
@@ -97,59 +103,72 @@
     return len(drop)
 
 
-def keep_progress(c: Controller, part: Part) -> Flow:
+class WrittenPage(msgspec.Struct, frozen=True):
+    """A page of a slice's progress that is being written, with the bits of what is done."""
+
+    owned: Slice
+    page: int
+    bits: int
+
+
+def keep_progress(controller: Controller, part: Part) -> Flow:
     """Write finished tasks in batches, about once a second or as the rate allows.
 
     The number of slices grows with the load, the state service's rate does not. What is
     finished and not written yet is kept by its worker, which is told to forget it only
     afterwards.
     """
-    state = c.settings.cluster.state
-    ops = c.batch
-    rate = SHARE * state.write_rps / len(c.settings.nodes)
+    state = controller.settings.cluster.state
+    rate = SHARE * state.write_rps / len(controller.settings.nodes)
     spent = turn = 0
-    mask = (1 << PAGE) - 1
-    while c.parts.get(part.number) is part:
-        held = [p for p in c.parts.values() if p.ready]
-        pause = max(0.7, spent * len(held) / rate)
+    while controller.parts.get(part.number) is part:
+        held = [p for p in controller.parts.values() if p.ready]
+        pause = max(LEAST_PAUSE_S, spent * len(held) / rate)
         spent = 0
-        yield Sleep(pause + 0.2 * c.rng.random())
-        if not c.acts(part.number):
+        yield Sleep(pause + 0.2 * controller.rng.random())
+        if not controller.acts(part.number):
             continue
-        batch = _dirty(part, c.now)[:ops]
+        batch = _dirty(part, controller.now)[: controller.batch]
         turn += 1
         if part.trash and (not batch or turn % SWEEP_EVERY == 0):
-            spent = yield from _sweep(c, part, ops)
-            continue
-        if not batch:
-            continue
-        written = []
-        guards = [c.fence(part.number)]
-        puts = []
-        for s, page in batch:
-            bits = (s.done >> (page * PAGE)) & mask
-            key = keys.progress(part.number, s.spec.id, page)
-            guards.append((key, s.pages.get(page, 0)))
-            puts.append(Put(key, encode_bits(bits)))
-            written.append((s, page, bits))
-        spent = len(puts)
-        r: StateResult = yield Commit(guards, puts, [], PROGRESS)
-        if r.status == 200:
-            for s, page, bits in written:
-                s.pages[page] = r.rev
-                s.durable |= bits << (page * PAGE)
-                s.dirty_since = c.now if s.done & ~s.durable else None
-        elif r.status in (0, 409):
-            # No answer, or an earlier try was applied after all: read the versions back.
-            for s, page, _ in written:
-                key = keys.progress(part.number, s.spec.id, page)
-                got: StateResult = yield Get(key, PROGRESS)
-                if got.status == 200:
-                    s.pages[page] = got.version
-                    s.durable |= decode_bits(got.value) << (page * PAGE)
-                elif got.status == 404:
-                    s.pages[page] = 0
-        # A slice that ended meanwhile leaves pages behind.
-        for s, page, _ in written:
-            if part.slices.get(s.spec.id) is not s:
-                part.trash[keys.progress(part.number, s.spec.id, page)] = None
+            spent = yield from _sweep(controller, part, controller.batch)
+        elif batch:
+            spent = len(batch)
+            yield from _write(controller, part, batch)
+
+
+def _write(controller: Controller, part: Part, batch: list[tuple[Slice, int]]) -> Step:
+    """Write pages in one commit, and take in what became of it."""
+    mask = (1 << PAGE) - 1
+    written = [WrittenPage(s, page, (s.done >> (page * PAGE)) & mask) for s, page in batch]
+    guards = [controller.fence(part.number)]
+    puts = []
+    for w in written:
+        key = keys.progress(part.number, w.owned.spec.id, w.page)
+        guards.append((key, w.owned.pages.get(w.page, 0)))
+        puts.append(Put(key, encode_bits(w.bits)))
+    result: StateResult = yield Commit(guards, puts, [], PROGRESS)
+    if result.status == 200:
+        for w in written:
+            w.owned.pages[w.page] = result.rev
+            w.owned.durable |= w.bits << (w.page * PAGE)
+            is_dirty = bool(w.owned.done & ~w.owned.durable)
+            w.owned.dirty_since = controller.now if is_dirty else None
+    elif result.status in (0, 409):
+        # No answer, or an earlier try was applied after all.
+        yield from _read_back(part, written)
+    # A slice that ended meanwhile leaves pages behind.
+    for w in written:
+        if part.slices.get(w.owned.spec.id) is not w.owned:
+            part.trash[keys.progress(part.number, w.owned.spec.id, w.page)] = None
+
+
+def _read_back(part: Part, written: list[WrittenPage]) -> Step:
+    """Read the versions of pages; one that is read late fails the next guard, and is read again."""
+    for w in written:
+        got: StateResult = yield Get(keys.progress(part.number, w.owned.spec.id, w.page), PROGRESS)
+        if got.status == 200:
+            w.owned.pages[w.page] = got.version
+            w.owned.durable |= decode_bits(got.value) << (w.page * PAGE)
+        elif got.status == 404:
+            w.owned.pages[w.page] = 0
--- a/marblestair/core/share_moves.py
+++ b/marblestair/core/share_moves.py
@@ -13,10 +13,11 @@
 from marblestair.core.flow import Flow
 from marblestair.core.model import GANG
 from marblestair.core.part import Part
+from marblestair.core.summary import summarise
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
-    from marblestair.core.messages import Gossip
+    from marblestair.core.messages import PartSummary
 
 #: seconds for which what a part told of its wants counts
 FRESH_S = 3.0
@@ -39,17 +40,17 @@
         for part in acting:
             if part.suspects:
                 continue
-            for number, (told_at, gossip) in sorted(controller.gossip.items()):
+            for number, (told_at, summary) in sorted(controller.summaries.items()):
                 if number == part.number or controller.now - told_at > FRESH_S:
                     continue
-                if gossip.term == record.parts[number].term and self._give_one(part, gossip):
+                if summary.term == record.parts[number].term and self._give_one(part, summary):
                     return
 
-    def _give_one(self, part: Part, other: Gossip) -> bool:
+    def _give_one(self, part: Part, other: PartSummary) -> bool:
         """Begin to give the first room that another part lacks and this one can spare."""
         controller = self._controller
-        told = controller.gossip.get(part.number)
-        own = told[1] if told is not None else controller.measure(part)
+        told = controller.summaries.get(part.number)
+        own = told[1] if told is not None else summarise(controller, part)
         for team, want in (*other.stuck.items(), *other.wants.items()):
             free = self._free(part, team, own, other)
             if free is None:
@@ -61,7 +62,9 @@
                 return True
         return False
 
-    def _free(self, part: Part, team: str, own: Gossip, other: Gossip) -> list[int] | None:
+    def _free(
+        self, part: Part, team: str, own: PartSummary, other: PartSummary
+    ) -> list[int] | None:
         """Room that a part can spare for another; None when it gives none of this team's."""
         used, share = part.usage(team), self._controller.share(part, team)
         free = [share[i] - used[i] for i in range(2)]
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -46,10 +46,10 @@
     """
     used: dict[str, list[int]] = {}
     out: set[str] = set()
-    for rec in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
-        spec = rec.spec
+    for record in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
+        spec = record.spec
         team = teams.get(spec.team)
-        if team is None or rec.cancelled or is_suspected(spec.id):
+        if team is None or record.cancelled or is_suspected(spec.id):
             continue
         u = used.setdefault(spec.team, [0, 0])
         u[0] += spec.tasks * up(spec.cpus)
--- /dev/null
+++ b/marblestair/core/takeover.py
@@ -0,0 +1,72 @@
+"""The rebuilding of a part by its new owner: from records and pages of progress, before it acts.
+
+Tasks that were held before start elsewhere only once every machine of the part has reported
+under the new term, or surely lost its lease; until then the machines count as suspect.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from marblestair.core import keys
+from marblestair.core.calls import Sleep
+from marblestair.core.flow import Flow
+from marblestair.core.part import Part
+from marblestair.core.progress import keep_progress, load_progress
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: pause between two looks at whether the view has reached the takeover
+LOOK_S = 0.02
+
+
+def rebuild(controller: Controller, part: Part, taken_at: int) -> Flow:
+    """Rebuild a part that was taken by a commit of the split at a revision."""
+    # Everything committed before the takeover must be in the view first: jobs, cancels, machines.
+    while controller.view.rev < taken_at:
+        yield Sleep(LOOK_S)
+        if controller.parts.get(part.number) is not part:
+            return
+    pages = yield from load_progress(controller, part)
+    if pages is None:
+        return
+    _take_machines(controller, part)
+    for job in controller.view.jobs:
+        controller.sync_slice(part, job)
+    _take_progress(part, pages)
+    for s in part.slices.values():
+        s.suspect = bool(part.suspects)
+        if s.cancelled:
+            # Users may have been told before the earlier owner fell.
+            s.cancelled_at = controller.now - controller.authority.takeover_s
+    part.ready = True
+    controller.log(
+        "info",
+        f"part {part.number} ready, term {part.term}: {len(part.machines)} machines,"
+        f" {len(part.slices)} jobs, {controller.now - part.since:.2f} s after the takeover",
+    )
+    controller.jobs.parts_changed()
+    controller.runner.keep(partial(keep_progress, controller, part))
+    controller.runner.keep(partial(controller.fleet.keep_part, part))
+
+
+def _take_machines(controller: Controller, part: Part) -> None:
+    """Every machine of the part is suspect: what runs there is not known."""
+    for name, member in controller.view.machines.items():
+        if member.part == part.number:
+            controller.sync_machine(name, part)
+            part.suspects.add(name)
+
+
+def _take_progress(part: Part, pages: dict[str, dict[int, tuple[int, int]]]) -> None:
+    """What was recorded as done is done; pages of jobs that are over are of no use."""
+    for job, numbered in pages.items():
+        s = part.slices.get(job)
+        for page, (bits, version) in numbered.items():
+            if s is None:
+                part.trash[keys.progress(part.number, job, page)] = version
+                continue
+            s.pages[page] = version
+            s.load_done(page, bits)
--- a/marblestair/core/view.py
+++ b/marblestair/core/view.py
@@ -12,6 +12,9 @@
 from marblestair.core.model import JobRecord
 from marblestair.core.split import MachineRecord, SplitRecord
 
+#: machines that are gone for good and remembered
+MOST_GONE = 2000
+
 
 class ListedRange(msgspec.Struct, frozen=True):
     """The keys that one page of a listing tells of, as of its revision."""
@@ -139,6 +142,7 @@
             self._ranges = [r for r in self._ranges if r.rev > self.rev]
 
     def _set(self, key: str, value: Any, version: int) -> None:
+        """Set a key to a version, or remove it with a value of None."""
         if value is None:
             self.versions.pop(key, None)
         else:
@@ -147,26 +151,31 @@
             self.split = None if value is None else msgspec.convert(value, SplitRecord)
             self.changed_split = True
         elif key.startswith(keys.JOBS):
-            job = key[len(keys.JOBS) :]
-            if value is None:
-                self.jobs.pop(job, None)
-            else:
-                self.jobs[job] = msgspec.convert(value, JobRecord)
-            self.changed_jobs.add(job)
+            self._set_job(key[len(keys.JOBS) :], value)
         elif key.startswith(keys.MACHINES):
-            name = key[len(keys.MACHINES) :]
-            if value is None:
-                if self.machines.pop(name, None) is not None:
-                    self.gone[name] = None
-                    while len(self.gone) > 2000:
-                        self.gone.popitem(last=False)
-            else:
-                self.machines[name] = msgspec.convert(value, MachineRecord)
-            self.changed_machines.add(name)
+            self._set_machine(key[len(keys.MACHINES) :], value)
         elif key.startswith(keys.NODES):
-            node = key[len(keys.NODES) :]
-            if value is None:
-                self.nodes.pop(node, None)
-            else:
-                self.nodes[node] = int(value)
-            self.changed_split = True
+            self._set_node(key[len(keys.NODES) :], value)
+
+    def _set_job(self, job: str, value: Any) -> None:
+        if value is None:
+            self.jobs.pop(job, None)
+        else:
+            self.jobs[job] = msgspec.convert(value, JobRecord)
+        self.changed_jobs.add(job)
+
+    def _set_machine(self, name: str, value: Any) -> None:
+        if value is not None:
+            self.machines[name] = msgspec.convert(value, MachineRecord)
+        elif self.machines.pop(name, None) is not None:
+            self.gone[name] = None
+            while len(self.gone) > MOST_GONE:
+                self.gone.popitem(last=False)
+        self.changed_machines.add(name)
+
+    def _set_node(self, node: str, value: Any) -> None:
+        if value is None:
+            self.nodes.pop(node, None)
+        else:
+            self.nodes[node] = int(value)
+        self.changed_split = True
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -279,10 +279,10 @@
         assert t.closed
     conn = _Framed(server._message)
     conn.connection_made(FakeTransport())
-    whole = frame(["note", "n1", "gossip", [1, []]])
+    whole = frame(["note", "n1", "summaries", [1, []]])
     for i in range(len(whole)):
         conn.data_received(whole[i : i + 1])
-    assert notes == [("n1", "gossip", [1, []])]
+    assert notes == [("n1", "summaries", [1, []])]
 
 
 def test_malformed_notes_do_not_end_the_core() -> None:
@@ -292,8 +292,8 @@
     w.run(3.0)
     core = w.cores["n0"]
     assert core is not None
-    core.note("n1", "gossip", [])
-    core.note("n1", "gossip", [core.view.nodes["n1"], [["x"]]])
+    core.note("n1", "summaries", [])
+    core.note("n1", "summaries", [core.view.nodes["n1"], [["x"]]])
     core.note("n1", "progress", [[1, 2]])
     core.note("n1", "what", [1])
     assert sum(level == "error" for level, _ in core.lines) == 3
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -7,6 +7,7 @@
 from marblestair.core.boots import MOST_RATIO, BootTimes
 from marblestair.core.part import Machine
 from marblestair.core.split import MachineRecord
+from marblestair.core.summary import summarise
 from tests.fakes.world import TYPES, Worker, World, spec
 from tests.test_stories import owner
 
@@ -108,7 +109,7 @@
         world.run(0.25)
         for name, other in world.cores.items():
             if other is not None and name != dead:
-                left |= {x for _, told in other.gossip.values() for x in told.leaving}
+                left |= {x for _, told in other.summaries.values() for x in told.leaving}
     assert not left & machines
     assert not world.broken
 
@@ -124,6 +125,6 @@
     part.add_machine(machine)
     machine.set_type(KIND)
     core.view.machines["host-900"] = MachineRecord(part.number, KIND.name, "a", False, 0.0)
-    assert core.measure(part).leaving == []
+    assert summarise(core, part).leaving == []
     core.set_time(core.now + 1.7 * KIND.boot_s, core.wall)
-    assert core.measure(part).leaving == ["host-900"]
+    assert summarise(core, part).leaving == ["host-900"]
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -13,6 +13,7 @@
 from marblestair.core.model import MachineType
 from marblestair.core.part import Machine, Part, Slice
 from marblestair.core.retiring import hollow
+from marblestair.core.summary import summarise
 from tests.fakes.world import World, spec
 
 LARGE = [
@@ -251,10 +252,10 @@
     core, part = next((c, p) for c in w.cores.values() if c for p in c.acting() if p.machines)
     m = next(iter(part.machines.values()))
     m.draining = True
-    told = core.measure(part)
+    told = summarise(core, part)
     assert m.name not in told.leaving and m.name not in [n for n, _ in told.idle]
     m.returning = True
-    assert m.name in core.measure(part).leaving
+    assert m.name in summarise(core, part).leaving
     m.draining = m.returning = False
     assert w.finish(job, 90.0)
     assert sum(x.type.name == "m32" for x in w.workers.values()) == 4
@@ -298,11 +299,11 @@
     w.set_time(core)
     core.fleet.reserved = {m.name: older}
     free = m.free[0]
-    rooms = core.measure(part).rooms
+    rooms = summarise(core, part).rooms
     assert core.preemption.claimed(m, "job-000003") and not core.preemption.claimed(m, older)
     core.fleet.reserved = {}
     # Told to the others, too, only once it is nobody's.
-    now = core.measure(part).rooms
+    now = summarise(core, part).rooms
     assert len(now) == len(rooms) + 1 and free in [r[3] for r in now]
     assert w.finish(older, 200.0)
     assert not w.broken
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -243,7 +243,7 @@
     assert core.answers.local(job) is None
     # The slice leaves, and comes again by a record that is older than the entry.
     del part.slices[job]
-    core._sync_slice(part, job)
+    core.sync_slice(part, job)
     assert part.slices[job].cancelled and not part.slices[job].pending
 
 
