Machines, slices and reports in short steps; names of the field in place of home-made ones

core/part.py held the machine, the slice and the part. Machine and Placed are core/machine.py, Slice is core/slices.py and follows its record itself, and the part takes a report in by short functions: whether it counts, what it shows of the machine, an answer to a machine that is not settled, and the comparison of what it lists with what was launched. given_up, unknown_tasks, obsolete_keys, lacks_room, nearly_empty and completion_records replace condemned, strays, trash, homeless, hollow and byrecord. Behaviour is unchanged.

Settings with a core_share or mem_mb that is not above 0 are refused with their field.

--- a/marblestair/core/byrecord.py
+++ b/marblestair/core/completion_records.py
@@ -24,7 +24,7 @@
 UNHEARD_REPORTS = 3.0
 
 
-class ByRecord:
+class CompletionRecords:
     """One node's use of job records in place of messages."""
 
     def __init__(self, controller: Controller) -> None:
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -16,19 +16,20 @@
 from marblestair.core.answers import Answers
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.boots import BootTimes
-from marblestair.core.byrecord import ByRecord
 from marblestair.core.cancels import Cancels
+from marblestair.core.completion_records import CompletionRecords
 from marblestair.core.dispatch import Dispatch
 from marblestair.core.faults import Faults
 from marblestair.core.fleet import Fleet
 from marblestair.core.flow import Flow, Runner
 from marblestair.core.jobs import Jobs
+from marblestair.core.machine import Machine
 from marblestair.core.machine_moves import MachineMoves
 from marblestair.core.messages import Command, Note, PartSummary, Reply
 from marblestair.core.migrate import Migrations
 from marblestair.core.migration_locks import MigrationLocks
 from marblestair.core.model import UNIT, MachineType, Order, Report
-from marblestair.core.part import Machine, Part
+from marblestair.core.part import Part
 from marblestair.core.preempt import Preemption
 from marblestair.core.requests import Requests
 from marblestair.core.share_moves import ShareMoves
@@ -91,7 +92,7 @@
         self.migration_locks = MigrationLocks(self)
         self.machine_moves = MachineMoves(self)
         self.preemption = Preemption(self)
-        self.byrecord = ByRecord(self)
+        self.completion_records = CompletionRecords(self)
         self.dispatch = Dispatch(self)
         self._next_slow = now
         self._next_move = now
@@ -194,7 +195,7 @@
             for p in self.parts.values()
             if p.ready
             for m in p.machines.values()
-            if self._should_report(p, m) and not m.condemned and not m.releasing
+            if self._should_report(p, m) and not m.given_up and not m.releasing
         ]
         if not heard or now - max(heard) < limit:
             return False
@@ -292,7 +293,7 @@
         record = self.view.jobs.get(job)
         if record is None and s is not None:
             for page, version in s.pages.items():
-                p.trash[keys.progress(p.number, job, page)] = version
+                p.obsolete_keys[keys.progress(p.number, job, page)] = version
         p.sync_job(record, job, self.view.version(keys.JOBS + job), self.now)
         if job in p.slices and self.cancels.known(job):
             # Known ahead of the view: a slice that comes by an older record is over too.
@@ -384,7 +385,7 @@
             self._tell(acting)
             for p in acting:
                 self.migrations.look(p)
-                self.machine_moves.lend(p)
+                self.machine_moves.give_machines(p)
         if now >= self._next_slow:
             self._next_slow = now + 1.0
             self.cancels.prune()
--- a/marblestair/core/demand.py
+++ b/marblestair/core/demand.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from marblestair.core.model import GANG
-from marblestair.core.part import Part, Slice
+from marblestair.core.part import Part
+from marblestair.core.slices import Slice
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -11,10 +11,12 @@
 from typing import TYPE_CHECKING
 
 from marblestair.core.guests import GuestTasks
+from marblestair.core.machine import Machine
 from marblestair.core.model import GANG
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Part
 from marblestair.core.placement import place_array, place_gang
 from marblestair.core.shares import order_key
+from marblestair.core.slices import Slice
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -27,8 +27,9 @@
     StateResult,
 )
 from marblestair.core.flow import Flow, Step
+from marblestair.core.machine import Machine
 from marblestair.core.model import GANG, JobRecord, JobSpec, MachineType, Order, Report
-from marblestair.core.part import Machine, Part
+from marblestair.core.part import Part
 from marblestair.core.planning import plan
 from marblestair.core.renting import (
     Coming,
@@ -40,7 +41,7 @@
     Want,
     kinds,
 )
-from marblestair.core.retiring import absent, broken, hollow
+from marblestair.core.retiring import absent, broken, nearly_empty
 from marblestair.core.shares import hopeless
 from marblestair.core.split import MachineRecord, even
 
@@ -292,7 +293,7 @@
                 and m.type is not None
                 and now - since > EMPTY_BOOTS * m.type.boot_s
             }
-            for m in hollow(part, long, now)[:1]:
+            for m in nearly_empty(part, long, now)[:1]:
                 m.draining = m.returning = True
                 part.stop(list(m.placed.values()), "returned")
                 controller.log(
@@ -584,7 +585,7 @@
         )
         if r.status != 200:
             if r.status == 0:
-                part.trash[key] = None
+                part.obsolete_keys[key] = None
             return want.count
         return (yield from self._hire(part, name, want, r.rev))
 
@@ -603,7 +604,7 @@
                 self.refused[(want.type, want.zone, want.spot)] = controller.now + max(
                     5.0, 0.5 * boot
                 )
-                part.trash[key] = intent
+                part.obsolete_keys[key] = intent
                 return 0
             if controller.parts.get(part.number) is not part:
                 return 0
@@ -652,7 +653,7 @@
                     if n not in controller.view.machines and n not in controller.view.gone
                 ]
                 if not names:
-                    part.trash[key] = None
+                    part.obsolete_keys[key] = None
                     return count
             yield Sleep(0.2 + 0.2 * controller.rng.random())
         return count
@@ -686,7 +687,7 @@
         intent = msgspec.convert(item.value, RentalIntent)
         lease_s = self.controller.settings.cluster.workers.lease_s
         if intent.at is not None and self.controller.wall - intent.at > RECENT_LEASES * lease_s:
-            part.trash[item.key] = item.version
+            part.obsolete_keys[item.key] = item.version
             return
         want = Want(intent.type, intent.zone, intent.spot, intent.count)
         yield from self._hire(part, name, want, item.version)
@@ -702,7 +703,7 @@
         if r.status != 200:
             for m in machines:
                 # A late copy of the request may still take the machine; it is asked for again.
-                m.releasing = m.condemned
+                m.releasing = m.given_up
                 m.idle_since = m.idle_since if m.placed else controller.now
             yield Sleep(0.5)
             return
@@ -746,6 +747,6 @@
         for s in part.slices.values():
             if s.cancelled and s.placed and now - s.cancelled_at > half:
                 for m in s.placed.values():
-                    if not m.condemned:
-                        m.condemned = True
+                    if not m.given_up:
+                        m.given_up = True
                         self.controller.log("info", f"{m.name} does not stop a cancelled task")
--- a/marblestair/core/guests.py
+++ b/marblestair/core/guests.py
@@ -9,8 +9,10 @@
 
 from typing import TYPE_CHECKING
 
-from marblestair.core.part import Machine, Part, Placed, Slice
+from marblestair.core.machine import Machine, Placed
+from marblestair.core.part import Part
 from marblestair.core.placement import allowed
+from marblestair.core.slices import Slice
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -17,7 +17,8 @@
 from marblestair.core.flow import Flow, Step
 from marblestair.core.managed import ManagedJob, PartReport
 from marblestair.core.model import JobRecord
-from marblestair.core.part import Part, Slice
+from marblestair.core.part import Part
+from marblestair.core.slices import Slice
 from marblestair.core.split import SplitRecord
 
 if TYPE_CHECKING:
@@ -153,7 +154,7 @@
         if controller.view.split is None:
             return
         acting = controller.acting()
-        controller.byrecord.tick(acting)
+        controller.completion_records.tick(acting)
         self._tell_managers(acting)
         for managed in list(self.managed.values()):
             if managed.editing or not controller.acts(managed.part):
--- a/marblestair/core/machine_moves.py
+++ b/marblestair/core/machine_moves.py
@@ -9,9 +9,11 @@
 from marblestair.core import keys
 from marblestair.core.calls import SPLIT, Commit, Put, Sleep, StateResult
 from marblestair.core.flow import Flow
+from marblestair.core.machine import Machine
 from marblestair.core.model import GANG, JobSpec
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Part
 from marblestair.core.placement import allowed, gang_fits, room, rooms_for
+from marblestair.core.slices import Slice
 from marblestair.core.split import raise_term
 
 if TYPE_CHECKING:
@@ -26,7 +28,7 @@
         self._controller = controller
         self._is_moving = False
 
-    def homeless(self, part: Part, s: Slice) -> bool:
+    def lacks_room(self, part: Part, s: Slice) -> bool:
         """Whether tasks that must start together have waited here for room in vain."""
         whole = s.spec.kind == GANG or s.spec.one_zone or s.spec.spread
         waited = (
@@ -37,7 +39,7 @@
             return False
         return whole and waited and not (s.placed or s.leaving or s.suspect or s.cancelled)
 
-    def lend(self, part: Part) -> None:
+    def give_machines(self, part: Part) -> None:
         """Move an idle machine into the part of a gang that fits into no part as it is."""
         controller = self._controller
         split = controller.view.split
@@ -46,7 +48,7 @@
         empty = [m for m in part.machines.values() if not m.placed and m.usable(controller.now)]
         if not empty:
             return
-        own = [s.spec for s in controller.dispatch.ordered(part) if self.homeless(part, s)]
+        own = [s.spec for s in controller.dispatch.ordered(part) if self.lacks_room(part, s)]
         first = min(((x.at, x.id) for x in own), default=(float("inf"), ""))
         for i, (t, g) in sorted(controller.summaries.items()):
             if i == part.number or controller.now - t > 2.0 or g.term != split.parts[i].term:
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -16,9 +16,10 @@
 from marblestair.core.flow import Flow, Step
 from marblestair.core.manager import LOG_OFF, STAY
 from marblestair.core.model import GANG, JobSpec
-from marblestair.core.part import Part, Slice
+from marblestair.core.part import Part
 from marblestair.core.placement import gang_fits, place_room, rooms_for
 from marblestair.core.ranges import Ranges
+from marblestair.core.slices import Slice
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -10,25 +10,22 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-
 from marblestair.core.boots import BootTimes
 from marblestair.core.faults import Faults
+from marblestair.core.machine import Machine, Placed, TaskKey
 from marblestair.core.model import (
     GANG,
     SERVICE,
     JobRecord,
     JobSpec,
-    MachineType,
     Order,
     Report,
     TaskReport,
 )
-from marblestair.core.ranges import PAGE, Ranges
+from marblestair.core.ranges import Ranges
+from marblestair.core.slices import Slice
 from marblestair.settings import Cluster
 
-Key = tuple[str, int]
-
 #: attempts are (term << ATTEMPT_BITS) + a count, so that no term reuses another's
 ATTEMPT_BITS = 24
 #: orders in one answer, to keep it well under the size limit
@@ -47,198 +44,6 @@
 DRIFT = 0.002
 
 
-class Placed:
-    """A task that is, or may be, on a machine."""
-
-    __slots__ = (
-        "attempt",
-        "grace",
-        "index",
-        "job",
-        "need",
-        "run_since",
-        "saved",
-        "sent_seq",
-        "since",
-        "state",
-        "stop_sent",
-        "team",
-        "why_stop",
-    )
-
-    def __init__(
-        self, job: str, index: int, attempt: int, need: tuple[int, int, int], team: str, now: float
-    ) -> None:
-        self.job = job
-        self.index = index
-        self.attempt = attempt
-        self.need = need
-        self.team = team
-        #: ``planned`` until the launch is in an answer, ``sent`` until a report lists the task
-        self.state = "planned"
-        self.since = now
-        self.run_since: float | None = None
-        #: sequence number of the report whose answer carried the launch
-        self.sent_seq = -1
-        #: grace of the stop that is wanted, None when none is
-        self.grace: float | None = None
-        self.why_stop = ""
-        self.stop_sent = -1e9
-        self.saved = False
-
-
-class Machine:
-    """A machine of this part."""
-
-    #: no placement on a machine that has not reported for this long; the part sets it
-    quiet_s = 1e9
-
-    def __init__(self, name: str, type_name: str, zone: str, spot: bool, now: float) -> None:
-        self.name = name
-        self.type_name = type_name
-        self.zone = zone
-        self.spot = spot
-        self.type: MachineType | None = None
-        self.addr = ""
-        self.added = now
-        #: newest (session, seq) seen; older reports are late copies
-        self.session = 0
-        self.seq = -1
-        #: sessions below this one have lost their lease for certain
-        self.min_session = 0
-        #: a report under this part's term has been seen; the term at which it joined counts
-        self.settled = False
-        self.join_term = 0
-        self.answered = -1e9
-        self.seen = -1e9
-        self.notice_at: float | None = None
-        self.placed: dict[Key, Placed] = {}
-        self.free = [0, 0, 0]
-        #: exited tasks listed in the newest report: key -> (attempt, done)
-        self.exited: dict[Key, tuple[int, bool]] = {}
-        #: tasks listed that this part knows nothing of; they are stopped
-        self.strays: dict[Key, int] = {}
-        self.draining = False
-        #: what it ran was stopped so that it can be given back
-        self.returning = False
-        #: no more 200 answers: its lease is to run out, and the cloud is to take it
-        self.condemned = False
-        self.releasing = False
-        self.silent = False
-        #: it fell silent together with many others, and is waited for
-        self.awaited = False
-        #: the cloud lists it as stopped by itself
-        self.failed = False
-        #: its reports arrive, but answers and commands seem not to: nothing is placed here until
-        #: it reports as often as only a worker does that is answered
-        self.deaf = False
-        self.deaf_since = now
-        #: how often in a row a launch did not show in a newer report, or a lease ran out though
-        #: it was answered
-        self.unheeded = 0
-        #: since when it has reported, without a gap, as often as only an answered worker does
-        self.often_since = now
-        #: answers to reports that did not carry this part's term yet
-        self.untaken = 0
-        #: it rests after a failure that counts against it
-        self.not_before = -1e9
-        self.idle_since: float | None = now
-        self.images: OrderedDict[str, float] = OrderedDict()
-
-    def set_type(self, t: MachineType | None) -> None:
-        """Learn the machine's capacity."""
-        if self.type is None and t is not None:
-            self.type = t
-            self.free = list(t.size)
-            for p in self.placed.values():
-                self._use(p.need, 1)
-
-    def _use(self, need: tuple[int, int, int], sign: int) -> None:
-        if self.type is not None:
-            for i in range(3):
-                self.free[i] -= sign * need[i]
-
-    def put(self, p: Placed) -> None:
-        """Account for a task."""
-        self.placed[(p.job, p.index)] = p
-        self._use(p.need, 1)
-        self.idle_since = None
-
-    def take(self, p: Placed, now: float) -> None:
-        """Stop accounting for a task."""
-        if self.placed.pop((p.job, p.index), None) is not None:
-            self._use(p.need, -1)
-            if not self.placed:
-                self.idle_since = now
-
-    def usable(self, now: float) -> bool:
-        """Whether tasks may be placed here now."""
-        return (
-            self.settled
-            and self.type is not None
-            and not (self.draining or self.condemned or self.releasing or self.silent or self.deaf)
-            and now - self.seen < self.quiet_s
-            and self.notice_at is None
-            and not self.strays
-            and now >= self.not_before
-        )
-
-    def note_image(self, spec: JobSpec) -> None:
-        """Remember that the machine has, or fetches, an image."""
-        self.images[spec.image] = spec.image_gb
-        self.images.move_to_end(spec.image)
-        cache = self.type.cache_gb if self.type else 0.0
-        while len(self.images) > 1 and sum(self.images.values()) > cache:
-            self.images.popitem(last=False)
-
-
-class Slice:
-    """The tasks of one job that this part holds."""
-
-    def __init__(self, spec: JobSpec) -> None:
-        self.spec = spec
-        self.need = spec.need
-        self.ranges: list[list[int]] = []
-        self.size = 0
-        self.pending = Ranges()
-        self.placed: dict[int, Machine] = {}
-        self.done = 0
-        self.done_count = 0
-        #: tasks on machines that were seen running
-        self.runs = 0
-        #: done bits that the state service holds, and the versions of their pages
-        self.durable = 0
-        self.pages: dict[int, int] = {}
-        self.dirty_since: float | None = None
-        self.cancelled = False
-        self.cancelled_at = 0.0
-        #: held before the takeover: some task may be on a machine that has not reported yet
-        self.suspect = False
-        self.attempt = 0
-        #: version of the job record that this reflects
-        self.version = 0
-        self.stopping_gang = False
-        self.waiting_since = 0.0
-        #: task numbers dropped here for a migration whose commit is not known yet
-        self.leaving: list[list[int]] = []
-        #: the migration that dropped them: an earlier one must not restore them
-        self.leaving_by = ""
-
-    def load_done(self, page: int, bits: int) -> None:
-        """Take in a page of progress that the state service holds."""
-        bits <<= page * PAGE
-        self.durable |= bits
-        self.done |= bits
-        for i in list(self.pending):
-            if (bits >> i) & 1:
-                self.pending.discard(i)
-        self.done_count = sum(1 for i in Ranges(self.ranges) if (self.done >> i) & 1)
-
-    def holds(self, i: int) -> bool:
-        """Whether a task number belongs to this slice."""
-        return any(a <= i < b for a, b in self.ranges)
-
-
 class Part:
     """The state of one part while this controller owns it under one term."""
 
@@ -263,7 +68,7 @@
         #: machines of the part at the takeover whose tasks are not known yet
         self.suspects: set[str] = set()
         #: machines that list tasks of jobs that this part knows nothing of
-        self.strayed: set[str] = set()
+        self.with_unknown_tasks: set[str] = set()
         #: the view has caught up with the takeover and progress is loaded
         self.ready = False
         #: being handed to another node
@@ -275,7 +80,7 @@
         self.finished: list[tuple[JobSpec, float]] = []
         #: keys that are of no use any more (pages, rental intents), with the version that may be
         #: deleted; None where it is to be read first
-        self.trash: dict[str, int | None] = {}
+        self.obsolete_keys: dict[str, int | None] = {}
         self.lease_end = cluster.workers.lease_s * (1 + DRIFT) + 0.25
 
     # --- accounting ------------------------------------------------------------------------
@@ -292,7 +97,9 @@
         stopped, count in full.
         """
         c, g = self.used.get(team, (0, 0))
-        for name in (self.suspects | self.strayed) if self.strayed else self.suspects:
+        for name in (
+            (self.suspects | self.with_unknown_tasks) if self.with_unknown_tasks else self.suspects
+        ):
             m = self.machines.get(name)
             if m is None or m.type is None:
                 return 1 << 62, 1 << 62
@@ -376,50 +183,34 @@
     def sync_job(self, record: JobRecord | None, job: str, version: int, now: float) -> None:
         """Follow a job's record: slices gained or lost, cancels, and its end."""
         s = self.slices.get(job)
-        ranges = record.slices.get(str(self.number), []) if record is not None else []
-        if record is None or (not ranges and s is None):
-            if record is None and s is not None:
-                for i, m in list(s.placed.items()):
-                    p = m.placed.get((job, i))
-                    if p is not None and p.grace is None:
-                        p.grace, p.why_stop = 0.0, "over"
-                del self.slices[job]
+        if record is None:
+            if s is not None:
+                self._end_slice(s)
+            return
+        ranges = record.slices.get(str(self.number), [])
+        if not ranges and s is None:
             return
         if s is None:
             s = self.slices[job] = Slice(record.spec)
             s.waiting_since = now
         if ranges != s.ranges:
-            old = Ranges(s.ranges)
-            mine_before = len(old)
-            s.ranges = [list(r) for r in ranges]
-            s.size = sum(b - a for a, b in s.ranges)
-            if mine_before == 0:
-                for a, b in s.ranges:
-                    s.pending.add(a, b)
-            else:
-                now_held = Ranges(s.ranges)
-                for i in list(s.pending):
-                    if i not in now_held:
-                        s.pending.discard(i)
-                for i in now_held:
-                    if i not in old and not (s.done >> i) & 1 and i not in s.placed:
-                        s.pending.add(i, i + 1)
-                # What a migration has dropped stays dropped until that migration is settled: this
-                # record may be older than the update that is on its way.
-                away, kept = Ranges(s.leaving), Ranges()
-                for i in away:
-                    if i in now_held:
-                        kept.add(i, i + 1)
-                        s.pending.discard(i)
-                s.leaving = kept.items
-                s.done_count = sum(1 for i in now_held if (s.done >> i) & 1)
-                if not s.ranges and not s.placed and not s.cancelled:
-                    del self.slices[job]
-                    return
+            had_tasks = s.size > 0
+            s.follow(ranges)
+            if had_tasks and not s.ranges and not s.placed and not s.cancelled:
+                del self.slices[job]
+                return
         s.version = version
         if record.cancelled:
             self.cancel(job, now)
 
+    def _end_slice(self, s: Slice) -> None:
+        """The job is over: what is still on machines is stopped."""
+        for index, m in list(s.placed.items()):
+            p = m.placed.get((s.spec.id, index))
+            if p is not None and p.grace is None:
+                p.grace, p.why_stop = 0.0, "over"
+        del self.slices[s.spec.id]
+
     def cancel(self, job: str, now: float) -> None:
         """Apply a cancel: nothing starts any more, and what is there is stopped at once."""
         s = self.slices.get(job)
@@ -464,7 +255,7 @@
             return
         for p in list(m.placed.values()):
             self._gone(m, p, now)
-        self.strayed.discard(name)
+        self.with_unknown_tasks.discard(name)
         self.suspects.discard(name)
         self.settle_suspects()
 
@@ -473,8 +264,8 @@
         for p in list(m.placed.values()):
             self._gone(m, p, now)
         m.exited = {}
-        m.strays = {}
-        self.strayed.discard(m.name)
+        m.unknown_tasks = {}
+        self.with_unknown_tasks.discard(m.name)
 
     def _drain(self, now: float) -> None:
         """Save what can be saved on machines that the cloud takes back."""
@@ -527,27 +318,33 @@
         None when the report must not be answered with a 200.
         """
         m = self.machines.get(rep.machine)
-        if m is None or m.condemned or m.releasing:
-            return None
-        if rep.token > self.term:
-            return None
-        newest = (rep.session, rep.seq) > (m.session, m.seq)
-        if rep.session < m.min_session or not newest:
-            # A late copy: the worker has given this report up, and its list is old.
+        if m is None or not self._counts(m, rep):
             return None
+        self._note_report(m, rep, now)
+        if rep.token >= m.join_term:
+            m.settled = True
+        if not m.settled:
+            return self._answer_unsettled(m, rep, now)
+        self._reconcile(m, rep, now)
+        if m.name in self.suspects:
+            self.suspects.discard(m.name)
+            self.settle_suspects()
+        m.answered = now
+        return self._orders(m, now)
+
+    def _counts(self, m: Machine, rep: Report) -> bool:
+        """Whether a report is to be taken in: the newest of a machine that is still wanted."""
+        if m.given_up or m.releasing or rep.token > self.term:
+            return False
+        # A late copy: the worker has given such a report up, and its list is old.
+        return rep.session >= m.min_session and (rep.session, rep.seq) > (m.session, m.seq)
+
+    def _note_report(self, m: Machine, rep: Report, now: float) -> None:
+        """What a report shows of the machine itself: it lives, hears, or is to be taken back."""
         m.addr = rep.addr
         often = now - m.seen < HEARD_REPORTS * self.cluster.workers.report_s
         if rep.session != m.session:
-            if not m.session and m.type is not None and m.name not in self.suspects:
-                self.boots.note(m.type, now - m.added, now)
-            if m.session:
-                # Its lease ran out. If it reported all the while, what it was answered did not
-                # reach it.
-                if now - m.seen < self.cluster.workers.lease_s / 2:
-                    m.unheeded += 1
-                    self._deaf(m, now)
-                self.forget_tasks(m, now)
-            m.session = rep.session
+            self._begin_session(m, rep.session, now)
         elif often and m.unheeded < UNHEEDED:
             # A worker that is not answered within some seconds turns to another controller.
             m.deaf = False
@@ -562,31 +359,37 @@
             m.deaf_since, m.awaited = now, False
         m.seen = now
         m.silent = False
-        if rep.notice_s is not None:
-            m.notice_at = now + rep.notice_s
-        elif m.notice_at is not None:
-            m.notice_at = None
-        if rep.token >= m.join_term and not m.settled:
-            m.settled = True
-        if not m.settled:
-            # Answering renews the lease and raises the token; the list counts only from the
-            # first report that carries this term, because only that one is known to be newer
-            # than everything the earlier owner sent. A machine that does not take the term up
-            # is answered no more, so that its lease, which is counted from the last answer that
-            # it may have had, comes to an end. (A session that moves on would not settle it: the
-            # earlier session may be known from a late copy only.)
-            if m.untaken > UNHEEDED:
+        m.notice_at = None if rep.notice_s is None else now + rep.notice_s
+
+    def _begin_session(self, m: Machine, session: int, now: float) -> None:
+        """The worker's first session that is seen, or one after its lease has run out."""
+        if not m.session:
+            if m.type is not None and m.name not in self.suspects:
+                self.boots.note(m.type, now - m.added, now)
+        else:
+            # If it reported all the while, what it was answered did not reach it.
+            if now - m.seen < self.cluster.workers.lease_s / 2:
+                m.unheeded += 1
                 self._deaf(m, now)
-                return None
-            m.untaken += 1
-            m.answered = now
-            return self._over(rep)
-        self._reconcile(m, rep, now)
-        if m.name in self.suspects:
-            self.suspects.discard(m.name)
-            self.settle_suspects()
+            self.forget_tasks(m, now)
+        m.session = session
+
+    def _answer_unsettled(self, m: Machine, rep: Report, now: float) -> list[Order] | None:
+        """Answer a machine of which no report has carried this term yet; None for no answer.
+
+        Answering renews the lease and raises the token; the list counts only from the first
+        report that carries this term, because only that one is known to be newer than everything
+        the earlier owner sent. A machine that does not take the term up is answered no more, so
+        that its lease, which is counted from the last answer that it may have had, comes to an
+        end. (A session that moves on would not settle it: the earlier session may be known from
+        a late copy only.)
+        """
+        if m.untaken > UNHEEDED:
+            self._deaf(m, now)
+            return None
+        m.untaken += 1
         m.answered = now
-        return self._orders(m, now)
+        return self._over(rep)
 
     def _over(self, rep: Report) -> list[Order]:
         """Return stops for tasks of jobs that are over on a machine that is not settled.
@@ -605,67 +408,91 @@
             m.deaf, m.deaf_since = True, now
 
     def _reconcile(self, m: Machine, rep: Report, now: float) -> None:
-        listed: dict[Key, TaskReport] = {}
+        """Compare what a settled machine lists with what was launched there."""
+        listed = self._take_list(m, rep, now)
+        if m.unknown_tasks:
+            self.with_unknown_tasks.add(m.name)
+        else:
+            self.with_unknown_tasks.discard(m.name)
+        is_launch_lost = is_launch_shown = False
+        for key, p in list(m.placed.items()):
+            found = listed.get(key)
+            was_sent = p.state == "sent"
+            is_launch_shown = is_launch_shown or (was_sent and found is not None)
+            if found is not None and found.attempt == p.attempt:
+                self._take_state(m, p, found, now)
+            elif was_sent:
+                is_launch_lost = True
+                self._take_back(m, p, now)
+            elif p.state != "planned":
+                self._gone(m, p, now)
+        if is_launch_shown:
+            m.unheeded = 0
+        elif is_launch_lost:
+            self._note_unheeded(m, now)
+
+    def _take_list(self, m: Machine, rep: Report, now: float) -> dict[TaskKey, TaskReport]:
+        """Sort what a machine lists.
+
+        Returns the tasks to compare with what was launched here. Of the others, those that the
+        part may hold are taken in, and those that it knows nothing of are to be stopped.
+        """
+        listed: dict[TaskKey, TaskReport] = {}
         m.exited = {}
-        m.strays = {}
+        m.unknown_tasks = {}
         for t in rep.tasks:
             key = (t.job, t.index)
             p = m.placed.get(key)
+            is_launched = p is not None and p.attempt == t.attempt
+            s = self.slices.get(t.job)
+            is_free = s is not None and s.holds(t.index) and t.index not in s.placed
             if t.state == "exited":
-                if p is not None and p.attempt == t.attempt:
+                if is_launched:
                     listed[key] = t
-                elif t.why == "done":
+                elif t.why == "done" and s is not None and is_free:
                     # A result whose owner fell before it was recorded.
-                    s = self.slices.get(t.job)
-                    if s is not None and s.holds(t.index) and t.index not in s.placed:
-                        self._done(s, t.index, now)
-                if key not in m.exited or p is None or p.attempt != t.attempt:
+                    self._done(s, t.index, now)
+                if key not in m.exited or not is_launched:
                     m.exited[key] = (t.attempt, t.why == "done")
                 continue
             listed[key] = t
-            if p is not None and p.attempt == t.attempt:
+            if is_launched:
                 continue
-            s = self.slices.get(t.job)
-            if p is None and s is not None and s.holds(t.index) and t.index not in s.placed:
+            if p is None and s is not None and is_free:
                 self._adopt(m, s, t, now)
             else:
-                m.strays[key] = t.attempt
-        if m.strays:
-            self.strayed.add(m.name)
-        else:
-            self.strayed.discard(m.name)
-        lost = shown = False
-        for key, p in list(m.placed.items()):
-            found = listed.get(key)
-            shown = shown or (found is not None and p.state == "sent")
-            if found is not None and found.attempt == p.attempt:
-                if found.state == "exited":
-                    self._exited(m, p, found, now)
-                elif found.state != p.state:
-                    if found.state == "running" and p.run_since is None:
-                        p.run_since = now
-                        if (ran := self.slices.get(key[0])) is not None:
-                            ran.runs += 1
-                    p.state = found.state
-            elif p.state == "sent":
-                # Listed in no report newer than the answer that carried the launch: the answer
-                # was dropped. It may be sent again.
-                p.state = "planned"
-                lost = True
-                s = self.slices.get(key[0])
-                if s is None or s.cancelled or p.grace is not None or m.deaf:
-                    self._gone(m, p, now)
-            elif p.state != "planned":
-                self._gone(m, p, now)
+                m.unknown_tasks[key] = t.attempt
+        return listed
+
+    def _take_state(self, m: Machine, p: Placed, found: TaskReport, now: float) -> None:
+        """A task that was launched here is listed."""
+        if found.state == "exited":
+            self._exited(m, p, found, now)
+        elif found.state != p.state:
+            if found.state == "running" and p.run_since is None:
+                p.run_since = now
+                if (s := self.slices.get(p.job)) is not None:
+                    s.runs += 1
+            p.state = found.state
+
+    def _take_back(self, m: Machine, p: Placed, now: float) -> None:
+        """No report newer than the answer with a launch lists the task: the answer was dropped.
+
+        It may be sent again.
+        """
+        p.state = "planned"
+        s = self.slices.get(p.job)
+        if s is None or s.cancelled or p.grace is not None or m.deaf:
+            self._gone(m, p, now)
 
-        if shown:
-            m.unheeded = 0
-        elif lost:
-            m.unheeded += 1
-            if m.unheeded >= UNHEEDED and not m.deaf:
-                self._deaf(m, now)
-                for p in [p for p in m.placed.values() if p.state == "planned"]:
-                    self._gone(m, p, now)
+    def _note_unheeded(self, m: Machine, now: float) -> None:
+        """A launch did not show; after several in a row the machine counts as deaf."""
+        m.unheeded += 1
+        if m.unheeded < UNHEEDED or m.deaf:
+            return
+        self._deaf(m, now)
+        for p in [p for p in m.placed.values() if p.state == "planned"]:
+            self._gone(m, p, now)
 
     def _exited(self, m: Machine, p: Placed, t: TaskReport, now: float) -> None:
         s = self.slices.get(p.job)
@@ -690,7 +517,7 @@
             if kept and s is not None and not (s.durable >> key[1]) & 1:
                 continue
             orders.append(Order("forget", key[0], key[1], attempt))
-        for key, attempt in m.strays.items():
+        for key, attempt in m.unknown_tasks.items():
             orders.append(Order("stop", key[0], key[1], attempt, 0.0))
         for p in list(m.placed.values()):
             if p.grace is not None and p.state != "planned":
@@ -701,7 +528,7 @@
     def launches(self, m: Machine, now: float) -> list[Order]:
         """Launches to carry in the answer to the report just taken in, after its other orders."""
         orders: list[Order] = []
-        if not m.settled or m.condemned or m.releasing:
+        if not m.settled or m.given_up or m.releasing:
             return orders
         for p in list(m.placed.values()):
             if p.state != "planned":
--- a/marblestair/core/placement.py
+++ b/marblestair/core/placement.py
@@ -10,8 +10,10 @@
 from collections import Counter
 from collections.abc import Callable, Container, Iterable
 
+from marblestair.core.machine import Machine
 from marblestair.core.model import JobSpec
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Part
+from marblestair.core.slices import Slice
 
 #: machines sampled at first; the design starts at 3 and leaves the size open
 SAMPLE = 6
--- a/marblestair/core/progress.py
+++ b/marblestair/core/progress.py
@@ -14,8 +14,9 @@
 from marblestair.core import keys
 from marblestair.core.calls import LEASE, PROGRESS, Commit, Get, ListKeys, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
-from marblestair.core.part import Part, Slice
+from marblestair.core.part import Part
 from marblestair.core.ranges import PAGE, decode_bits, encode_bits
+from marblestair.core.slices import Slice
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -76,19 +77,19 @@
     Each is guarded on its version: a deletion that is carried out late must not take what has
     been written under the key since.
     """
-    for key in [k for k, v in part.trash.items() if v is None][:ops]:
+    for key in [k for k, v in part.obsolete_keys.items() if v is None][:ops]:
         got: StateResult = yield Get(key, PROGRESS)
         if got.status == 404:
-            part.trash.pop(key, None)
+            part.obsolete_keys.pop(key, None)
         elif got.status == 200:
-            part.trash[key] = got.version
+            part.obsolete_keys[key] = got.version
     used = {
         keys.progress(part.number, job, page) for job, s in part.slices.items() for page in s.pages
     }
-    for key in used & part.trash.keys():
+    for key in used & part.obsolete_keys.keys():
         # The slice has come back, and its page is in use again.
-        del part.trash[key]
-    drop = {k: v for k, v in part.trash.items() if v is not None}
+        del part.obsolete_keys[key]
+    drop = {k: v for k, v in part.obsolete_keys.items() if v is not None}
     drop = dict(list(drop.items())[:ops])
     if not drop:
         return 0
@@ -97,9 +98,9 @@
     )
     for key in drop:
         if r.status == 200:
-            part.trash.pop(key, None)
+            part.obsolete_keys.pop(key, None)
         elif r.status in (0, 409):
-            part.trash[key] = None
+            part.obsolete_keys[key] = None
     return len(drop)
 
 
@@ -130,7 +131,7 @@
             continue
         batch = _dirty(part, controller.now)[: controller.batch]
         turn += 1
-        if part.trash and (not batch or turn % SWEEP_EVERY == 0):
+        if part.obsolete_keys and (not batch or turn % SWEEP_EVERY == 0):
             spent = yield from _sweep(controller, part, controller.batch)
         elif batch:
             spent = len(batch)
@@ -160,7 +161,7 @@
     # A slice that ended meanwhile leaves pages behind.
     for w in written:
         if part.slices.get(w.owned.spec.id) is not w.owned:
-            part.trash[keys.progress(part.number, w.owned.spec.id, w.page)] = None
+            part.obsolete_keys[keys.progress(part.number, w.owned.spec.id, w.page)] = None
 
 
 def _read_back(part: Part, written: list[WrittenPage]) -> Step:
--- a/marblestair/core/retiring.py
+++ b/marblestair/core/retiring.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from marblestair.core.machine import Machine
 from marblestair.core.model import GANG
-from marblestair.core.part import Machine, Part
+from marblestair.core.part import Part
 from marblestair.core.renting import LEAST_AGE_S
 
 #: work lost by emptying a machine, against the room that would stand free meanwhile
-HOLLOW = 0.5
+NEARLY_EMPTY = 0.5
 #: report intervals that pass until a task that was stopped and has saved goes on elsewhere
 SAVED_REPORTS = 3.0
 #: how many machines that fall silent at once, at least and as a share of a part, are waited for,
@@ -17,7 +18,7 @@
 UNKNOWN_BOOT_LEASES = 9.0
 
 
-def hollow(part: Part, names: set[str], now: float) -> list[Machine]:
+def nearly_empty(part: Part, names: set[str], now: float) -> list[Machine]:
     """Choose nearly empty machines that are worth emptying.
 
     Of the machines that are to fall idle, those where stopping what still runs, to run it again
@@ -48,7 +49,7 @@
             # What has run long already is as likely as not to run as long again.
             left = max(left, s.spec.estimate_s - ran, 0.5 * ran)
         else:
-            if lost < HOLLOW * found.free[0] * left:
+            if lost < NEARLY_EMPTY * found.free[0] * left:
                 out.append((lost, name, found))
     chosen = []
     for _, _, m in sorted(out, key=lambda x: x[:2]):
@@ -71,7 +72,7 @@
 
 
 def broken(part: Part, lease_s: float, now: float) -> list[str]:
-    """Machines to give back because they do not serve: never up, silent, condemned, faulty."""
+    """Machines to give back because they do not serve: never up, silent, given up, faulty."""
     out = []
     waited_for = absent(part, lease_s, now)
     known = [m for m in part.machines.values() if m.session]
@@ -94,6 +95,6 @@
         )
         deaf = m.deaf and not m.silent and alone and now - m.deaf_since > 1.5 * lease_s
         emptied = m.returning and not m.placed
-        if emptied or late or lost or deaf or m.condemned or faulty or taken:
+        if emptied or late or lost or deaf or m.given_up or faulty or taken:
             out.append(m.name)
     return out
--- a/marblestair/core/summary.py
+++ b/marblestair/core/summary.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from marblestair.core.demand import measure_demand, wanted_tasks
+from marblestair.core.machine import Machine
 from marblestair.core.messages import PartSummary
 from marblestair.core.model import GANG
-from marblestair.core.part import Machine, Part
+from marblestair.core.part import Part
 from marblestair.core.retiring import absent
 
 if TYPE_CHECKING:
@@ -46,7 +47,7 @@
         waiting=_waiting(controller, part),
         busy=use.busy,
         idle=use.idle,
-        needs=[s.spec.id for s in ordered if controller.machine_moves.homeless(part, s)],
+        needs=[s.spec.id for s in ordered if controller.machine_moves.lacks_room(part, s)],
         gangs=use.gangs,
         leaving=use.leaving,
         absent=sorted(away),
@@ -88,7 +89,7 @@
         m.name for s in part.slices.values() if s.spec.kind == GANG for m in s.placed.values()
     }
     for m in part.machines.values():
-        is_given_up = m.releasing or m.condemned or m.returning
+        is_given_up = m.releasing or m.given_up or m.returning
         if m.name in away and not is_given_up:
             continue
         if is_given_up or _is_leaving(controller, m):
@@ -97,7 +98,7 @@
             # On its way to a gang's part: neither idle nor lost to the plan, which would rent
             # once more what is there already.
             continue
-        elif m.settled and m.idle_since is not None and not m.placed and not m.strays:
+        elif m.settled and m.idle_since is not None and not m.placed and not m.unknown_tasks:
             use.idle.append((m.name, round(controller.now - m.idle_since, 2)))
         elif m.name in with_gangs:
             use.gangs.append(m.name)
--- a/marblestair/core/takeover.py
+++ b/marblestair/core/takeover.py
@@ -66,7 +66,7 @@
         s = part.slices.get(job)
         for page, (bits, version) in numbered.items():
             if s is None:
-                part.trash[keys.progress(part.number, job, page)] = version
+                part.obsolete_keys[keys.progress(part.number, job, page)] = version
                 continue
             s.pages[page] = version
             s.load_done(page, bits)
--- a/marblestair/settings.py
+++ b/marblestair/settings.py
@@ -178,6 +178,8 @@
         ("cluster.state.value_kb", c.state.value_kb),
         ("cluster.state.txn_ops", c.state.txn_ops),
         ("cluster.cloud.rps", c.cloud.rps),
+        ("cluster.machine_limits.core_share", c.machine_limits.core_share),
+        ("cluster.machine_limits.mem_mb", c.machine_limits.mem_mb),
         ("cluster.machine_limits.sockets", c.machine_limits.sockets),
     ]
     for name, value in positive:
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -9,8 +9,10 @@
 import pytest
 
 from marblestair.core import keys
+from marblestair.core.machine import Machine
 from marblestair.core.model import TaskReport
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Part
+from marblestair.core.slices import Slice
 from tests.fakes.world import Worker, World, spec
 from tests.test_stories import owner, warm
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -346,6 +346,8 @@
             "cluster.teams",
             {"teams": [{"name": f"team-{i}", "cpus": 1.0, "cpus_max": 2.0} for i in range(400)]},
         ),
+        ("cluster.machine_limits.core_share", {"machine_limits": dict(core_share=-0.3)}),
+        ("cluster.machine_limits.mem_mb", {"machine_limits": dict(mem_mb=0.0)}),
         ("cluster.state.txn_ops", {"state": dict(rps=9.0, write_rps=9.0, value_kb=4.0, txn_ops=1)}),
         (
             "cluster.workers.lease_s",
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marblestair.core.boots import MOST_RATIO, BootTimes
-from marblestair.core.part import Machine
+from marblestair.core.machine import Machine
 from marblestair.core.split import MachineRecord
 from marblestair.core.summary import summarise
 from tests.fakes.world import TYPES, Worker, World, spec
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,8 +5,10 @@
 import pytest
 
 from marblestair.core.faults import REMEMBERED, Faults
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.machine import Machine
+from marblestair.core.part import Part
 from marblestair.core.retiring import broken
+from marblestair.core.slices import Slice
 from marblestair.settings import Workers
 from tests.fakes.world import TYPES, FakeTask, Order, Worker, World, spec
 from tests.test_stories import owner, warm
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,8 +9,9 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import ListKeys
+from marblestair.core.machine import Machine
 from marblestair.core.model import MachineType
-from marblestair.core.part import Machine, Slice
+from marblestair.core.slices import Slice
 from tests.fakes.world import Worker, World, spec
 from tests.test_growth import cost
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -10,9 +10,11 @@
 
 from marblestair.core import keys
 from marblestair.core.controller import Controller
+from marblestair.core.machine import Machine
 from marblestair.core.model import MachineType
-from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.retiring import hollow
+from marblestair.core.part import Part
+from marblestair.core.retiring import nearly_empty
+from marblestair.core.slices import Slice
 from marblestair.core.summary import summarise
 from tests.fakes.world import World, spec
 
@@ -235,12 +237,12 @@
     many = machine("host-2", 14, 50.0, "job-000002")
     other = machine("host-3", 2, 20.0, "job-000003")
     names = {"host-1", "host-2"}
-    assert hollow(part, names, 100.0) == [few]
+    assert nearly_empty(part, names, 100.0) == [few]
     # Not where the tasks would find no room, nor before the least rental is over.
-    assert hollow(part, {"host-1", "host-2", "host-3"}, 100.0) == []
-    assert hollow(part, names, 50.0) == []
+    assert nearly_empty(part, {"host-1", "host-2", "host-3"}, 100.0) == []
+    assert nearly_empty(part, names, 50.0) == []
     part.stop(list(few.placed.values()), "returned")
-    assert hollow(part, names, 100.0) == []
+    assert nearly_empty(part, names, 100.0) == []
     assert many.placed and other.placed
 
 
--- a/tests/test_guest_teams.py
+++ b/tests/test_guest_teams.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from marblestair.core.part import Machine, Part, Slice
-from marblestair.core.retiring import hollow
+from marblestair.core.machine import Machine
+from marblestair.core.part import Part
+from marblestair.core.retiring import nearly_empty
 from marblestair.core.shares import order_key, refusal
+from marblestair.core.slices import Slice
 from marblestair.core.split import first
 from marblestair.settings import UNLIMITED, Team
 from tests.fakes.world import TYPES, World, spec
@@ -136,5 +138,5 @@
         part.launch(part.machines[name], part.slices[job.id], index, index + 1, 60.0)
         task = part.machines[name].placed[(job.id, index)]
         task.state, task.run_since = "running", 60.0
-    found = hollow(part, {"almost-empty"}, 200.0)
+    found = nearly_empty(part, {"almost-empty"}, 200.0)
     assert [machine.name for machine in found] == (["almost-empty"] if emptied else [])
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,10 +11,12 @@
 from marblestair.core import keys
 from marblestair.core.calls import Commit
 from marblestair.core.controller import Controller
+from marblestair.core.machine import Machine
 from marblestair.core.managed import PartReport
-from marblestair.core.part import Machine, Part, Slice
+from marblestair.core.part import Part
 from marblestair.core.planning import plan
 from marblestair.core.renting import Have, Load, Tuning
+from marblestair.core.slices import Slice
 from tests.fakes.world import TYPES, Worker, World, spec
 from tests.test_added_rules import busy
 from tests.test_stories import owner, warm
--- a/tests/test_rental_intents.py
+++ b/tests/test_rental_intents.py
@@ -40,7 +40,7 @@
         world.state.rev += 1
         key = keys.hire(part.number, f"r-0-{number}")
         world.state.data[key] = (["t4", "a", False, 2, core.wall], world.state.rev, None)
-        part.trash[key] = world.state.rev
+        part.obsolete_keys[key] = world.state.rev
     slices = list(part.slices.values())
     # There is always progress to write.
     monkeypatch.setattr(progress, "_dirty", lambda part, now: [(slices[0], 0)])
