--- /dev/null
+++ b/tests/fakes/deployment.py
@@ -0,0 +1,76 @@
+"""Settings, machine types and jobs of the small deployments that the tests simulate."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from marblestair import settings as st
+from marblestair.core.model import JobSpec, MachineType
+
+EPOCH = 1_000_000.0
+
+
+def spec(n: int, **changes: Any) -> JobSpec:
+    """A small job, with changes."""
+    base: dict[str, Any] = dict(
+        id=f"job-{n:06d}",
+        cls="c",
+        team="red",
+        kind="array",
+        priority="normal",
+        tasks=6,
+        cpus=1.0,
+        gpus=0.0,
+        mem_gb=1.0,
+        image="img",
+        image_gb=0.1,
+        types=None,
+        zone=None,
+        one_zone=False,
+        spread=False,
+        spot=False,
+        estimate_s=5.0,
+        checkpoint_s=0.0,
+        save_s=0.0,
+        deadline_s=None,
+    )
+    base.update(changes)
+    return JobSpec(**base)
+
+
+def settings(me: int, n: int = 3, **cluster: Any) -> st.Settings:
+    """Settings of one node of a small deployment."""
+    names = [f"n{i}" for i in range(n)]
+    base: dict[str, Any] = dict(
+        size=n,
+        zones=["a"],
+        skew_ms=100.0,
+        teams=[
+            dict(name="red", cpus=8.0, cpus_max=24.0, gpus=0.0, gpus_max=0.0),
+            dict(name="blue", cpus=8.0, cpus_max=12.0, gpus=0.0, gpus_max=0.0),
+        ],
+        objectives=[],
+        workers=dict(report_s=1.0, lease_s=10.0, gang_wait_s=30.0, gang_peer_s=5.0, cancel_s=30.0),
+        state=dict(rps=100.0, write_rps=40.0, value_kb=16.0, txn_ops=16),
+        cloud=dict(rps=10.0, list_lag_s=5.0),
+        machine_limits=dict(core_share=0.3, mem_mb=100.0, sockets=500.0),
+    )
+    base.update(cluster)
+    return st.parse(
+        dict(
+            node=names[me],
+            public_addr=f"10.0.0.{me + 1}:8080",
+            cluster_listen=f"10.0.0.{me + 1}:8081",
+            others=[
+                dict(node=x, address=f"10.0.0.{i + 1}:8081") for i, x in enumerate(names) if i != me
+            ],
+            external=dict(cloud="10.2.0.2:1", state="10.2.0.1:1"),
+            cluster=base,
+        )
+    )
+
+
+TYPES = [
+    MachineType("t4", 4.0, 0.0, 16.0, 50.0, 1.0, 0.4, 0.15, 5.0, ["a", "b"]),
+    MachineType("t8", 8.0, 0.0, 32.0, 50.0, 1.0, 0.8, 0.3, 5.0, ["a", "b"]),
+]
--- /dev/null
+++ b/tests/fakes/rules.py
@@ -0,0 +1,204 @@
+"""The users' rules, judged from the outside: by what users were told and what ran where."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from marblestair import settings as st
+from marblestair.core.model import GANG, JobSpec
+from tests.fakes.state import FakeState
+from tests.fakes.worker import FakeTask, Worker
+
+
+class Rules:
+    """What a simulated deployment must never show; ``broken`` lists what it did show."""
+
+    now: float
+    at: Callable[[float, Callable[[], None]], None]
+    settings: list[st.Settings]
+    state: FakeState
+    cancel_s: float
+    specs: dict[str, JobSpec]
+    workers: dict[str, Worker]
+    holders: dict[str, dict[str, Worker]]
+    results: set[tuple[str, int]]
+    cancel_asked: set[str]
+    _ids: itertools.count[int]
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.accepted: dict[str, float] = {}
+        self.told: dict[str, str] = {}
+        #: job -> the final state that a user was told first, and the place of that answer in the
+        #: order of all requests and such answers
+        self.final_told: dict[str, tuple[str, int]] = {}
+        self.cancel_told: dict[str, float] = {}
+        #: time, job, task, machine and attempt of each start
+        self.starts: list[tuple[float, str, int, str, int]] = []
+        #: since when the troubles are over, as the test says; what waits is judged from then on
+        self.quiet_since: float | None = None
+        #: job -> since when it has waited beside room
+        self._beside: dict[str, float] = {}
+
+    def _judge(self, what: str, arg: Any, r: Any, begun: int | None = None) -> None:
+        """Judge an answer to a request that began at a place in the order of all requests."""
+        if begun is None:
+            begun = next(self._ids)
+        job = arg.id if what == "submit" else arg
+        if what == "submit":
+            if r.status in (200, 201):
+                self.accepted.setdefault(job, self.now)
+            elif r.status in (400, 422) and job in self.accepted:
+                self.broken.append(f"forgotten: {job} refused with {r.status}")
+        if r.status == 404 and job in self.accepted:
+            self.broken.append(f"forgotten: {job} answered 404")
+        if r.status in (200, 201):
+            if job not in self.specs:
+                self.broken.append(f"invented: {job}")
+                return
+            self._judge_order(job, r.state, begun)
+            if r.state == "cancelled" and job not in self.cancel_asked:
+                self.broken.append(f"went_back: {job} cancelled by nobody")
+            if r.state == "done":
+                missing = [i for i in range(self.specs[job].tasks) if (job, i) not in self.results]
+                if missing:
+                    self.broken.append(f"not_done: {job} lacks {missing}")
+            if r.state == "cancelled":
+                self.cancel_told.setdefault(job, self.now)
+            self.told[job] = r.state
+
+    def _judge_order(self, job: str, state: str, begun: int) -> None:
+        """Judge that no answer goes back.
+
+        What began before a final state was told may be answered with what was true when it
+        began; two final states may never differ.
+        """
+        final, since = self.final_told.get(job, ("", 0))
+        is_final = state in ("done", "cancelled")
+        if final and state != final and (begun > since or is_final):
+            self.broken.append(f"went_back: {job} from {final} to {state}")
+        if is_final and not final:
+            self.final_told[job] = (state, next(self._ids))
+
+    def check_start(self, m: Worker, t: FakeTask) -> None:
+        """The rules that concern a start."""
+        self.starts.append((self.now, t.job, t.index, m.name, t.attempt))
+        s = self.specs[t.job]
+        for other in self.holders.get(t.job, {}).values():
+            x = other.tasks.get((t.job, t.index))
+            if x is not None and x is not t and x.state != "exited" and not other.deleted:
+                self.broken.append(f"ran_twice: {t.job}/{t.index} on {m.name} and {other.name}")
+        if (s.types is not None and m.type.name not in s.types) or (
+            s.zone is not None and m.zone != s.zone
+        ):
+            self.broken.append(f"wrong_place: {t.job} on {m.name}")
+        if m.spot and not s.spot:
+            self.broken.append(f"wrong_place: {t.job} on spot {m.name}")
+        zones = [
+            x.zone
+            for x in self.holders.get(t.job, {}).values()
+            if not x.deleted
+            for y in x.live.values()
+            if y.job == t.job
+        ]
+        if s.one_zone and len(set(zones)) > 1:
+            self.broken.append(f"wrong_place: {t.job} in {set(zones)}")
+        if s.spread and zones.count(m.zone) > (s.tasks + 1) // 2:
+            self.broken.append(f"wrong_place: {t.job} has too many in {m.zone}")
+        told = self.cancel_told.get(t.job)
+        if told is not None and self.now > told + self.cancel_s:
+            self.broken.append(f"ran_cancelled: {t.job} starts")
+
+    def _check(self) -> None:
+        self.at(0.25, self._check)
+        self._watch_waiting()
+        self.broken += self.state.unsafe
+        self.state.unsafe.clear()
+        used: dict[str, float] = {}
+        for m in self.workers.values():
+            if m.deleted:
+                continue
+            for t in m.live.values():
+                s = self.specs[t.job]
+                used[s.team] = used.get(s.team, 0.0) + s.cpus
+                told = self.cancel_told.get(t.job)
+                if told is not None and self.now > told + self.cancel_s:
+                    self.broken.append(f"ran_cancelled: {t.job} on {m.name}")
+        for team in self.settings[0].cluster.teams:
+            if used.get(team.name, 0.0) > team.cpu_limit + 1e-9:
+                self.broken.append(f"quota: {team.name} uses {used[team.name]}")
+
+    def _watch_waiting(self) -> None:
+        """Once troubles are over, no job waits 90 s beside a machine with room for it while its
+        team is under its limit.
+        """
+        if self.quiet_since is None:
+            self._beside.clear()
+            return
+        limits = {t.name: t.cpu_limit for t in self.settings[0].cluster.teams}
+        rooms = []
+        for m in self.workers.values():
+            if not m.deleted and m.up and not m.hung and m.notice is None:
+                live = [self.specs[t.job].need for t in m.live.values()]
+                free = [a - sum(n[i] for n in live) for i, a in enumerate(m.type.size)]
+                rooms.append((m, free))
+                for t in m.live.values():
+                    s = self.specs[t.job]
+                    limits[s.team] -= s.cpus
+        for job in self.accepted:
+            s = self.specs[job]
+            on = {
+                t.index
+                for m in self.holders.get(job, {}).values()
+                for t in m.live.values()
+                if t.job == job and not m.deleted
+            }
+            done = {i for j, i in self.results if j == job}
+            waits = s.tasks - len(on | done)
+            over = self.told.get(job) in ("done", "cancelled")
+            if job in self.cancel_asked or waits <= 0 or over:
+                self._beside.pop(job, None)
+                continue
+            whole = s.kind == GANG
+            fits = sum(
+                min((f // n for f, n in zip(free, s.need, strict=True) if n), default=0)
+                for m, free in rooms
+                if s.may_run_on(m.type.name, m.zone, m.spot)
+                and (not s.one_zone or not on or m.zone in self._zones_of(job))
+            )
+            enough = fits >= (s.tasks if whole else 1) and not (whole and on)
+            if not enough or limits[s.team] < s.cpus * (s.tasks if whole else 1):
+                self._beside.pop(job, None)
+                continue
+            since = self._beside.setdefault(job, self.now)
+            last = max((t for t, j, *_ in self.starts[-200:] if j == job), default=0.0)
+            if self.now - max(since, last) > 90.0:
+                self.broken.append(f"waits: {job} beside room")
+                self._beside[job] = self.now
+
+    def _zones_of(self, job: str) -> set[str]:
+        return {
+            m.zone
+            for m in self.holders.get(job, {}).values()
+            if not m.deleted and any(t.job == job for t in m.live.values())
+        }
+
+    def unserved(self) -> list[str]:
+        """Classes and teams of which less than half of what was accepted and not cancelled is
+        done, and jobs that did not begin within four minutes.
+        """
+        out = []
+        began: dict[str, float] = {}
+        for t, job, *_ in self.starts:
+            began.setdefault(job, t)
+        jobs = [j for j in self.accepted if j not in self.cancel_asked]
+        kinds: dict[str, list[bool]] = {}
+        for j in jobs:
+            over = all((j, i) in self.results for i in range(self.specs[j].tasks))
+            for kind in (f"class {self.specs[j].cls}", f"team {self.specs[j].team}"):
+                kinds.setdefault(kind, []).append(over)
+            if began.get(j, self.now) - self.accepted[j] > 240.0:
+                out.append(f"late: {j}")
+        return out + [f"unserved: {k}" for k, v in kinds.items() if 2 * sum(v) < len(v)]
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -1,6 +1,6 @@
 """A simulated deployment: controllers' cores, state service, cloud, workers and users.
 
-Time is simulated and every choice comes from one seeded generator, so a story repeats exactly.
+Time is simulated and every choice comes from one seeded generator, so a test repeats exactly.
 The world checks the users' rules at every step: ``broken`` lists what it saw.
 """
 
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from marblestair import settings as st
 from marblestair.core.calls import (
     NOT_SENT,
     CloudDelete,
@@ -28,295 +27,18 @@
     Watch,
 )
 from marblestair.core.controller import Controller
-from marblestair.core.model import GANG, JobSpec, MachineType, Order, Report, TaskReport
+from marblestair.core.model import GANG, JobSpec, Report
+from tests.fakes.deployment import EPOCH, TYPES, settings
+from tests.fakes.rules import Rules
 from tests.fakes.state import FakeState
+from tests.fakes.worker import FakeTask, Worker
 
-EPOCH = 1_000_000.0
-
-
-def spec(n: int, **changes: Any) -> JobSpec:
-    """A small job, with changes."""
-    base: dict[str, Any] = dict(
-        id=f"job-{n:06d}",
-        cls="c",
-        team="red",
-        kind="array",
-        priority="normal",
-        tasks=6,
-        cpus=1.0,
-        gpus=0.0,
-        mem_gb=1.0,
-        image="img",
-        image_gb=0.1,
-        types=None,
-        zone=None,
-        one_zone=False,
-        spread=False,
-        spot=False,
-        estimate_s=5.0,
-        checkpoint_s=0.0,
-        save_s=0.0,
-        deadline_s=None,
-    )
-    base.update(changes)
-    return JobSpec(**base)
-
-
-def settings(me: int, n: int = 3, **cluster: Any) -> st.Settings:
-    """Settings of one node of a small deployment."""
-    names = [f"n{i}" for i in range(n)]
-    base: dict[str, Any] = dict(
-        size=n,
-        zones=["a"],
-        skew_ms=100.0,
-        teams=[
-            dict(name="red", cpus=8.0, cpus_max=24.0, gpus=0.0, gpus_max=0.0),
-            dict(name="blue", cpus=8.0, cpus_max=12.0, gpus=0.0, gpus_max=0.0),
-        ],
-        objectives=[],
-        workers=dict(report_s=1.0, lease_s=10.0, gang_wait_s=30.0, gang_peer_s=5.0, cancel_s=30.0),
-        state=dict(rps=100.0, write_rps=40.0, value_kb=16.0, txn_ops=16),
-        cloud=dict(rps=10.0, list_lag_s=5.0),
-        machine_limits=dict(core_share=0.3, mem_mb=100.0, sockets=500.0),
-    )
-    base.update(cluster)
-    return st.parse(
-        dict(
-            node=names[me],
-            public_addr=f"10.0.0.{me + 1}:8080",
-            cluster_listen=f"10.0.0.{me + 1}:8081",
-            others=[
-                dict(node=x, address=f"10.0.0.{i + 1}:8081") for i, x in enumerate(names) if i != me
-            ],
-            external=dict(cloud="10.2.0.2:1", state="10.2.0.1:1"),
-            cluster=base,
-        )
-    )
-
-
-TYPES = [
-    MachineType("t4", 4.0, 0.0, 16.0, 50.0, 1.0, 0.4, 0.15, 5.0, ["a", "b"]),
-    MachineType("t8", 8.0, 0.0, 32.0, 50.0, 1.0, 0.8, 0.3, 5.0, ["a", "b"]),
-]
-
-
-class FakeTask:
-    """A task on a worker."""
-
-    def __init__(self, job: str, index: int, attempt: int) -> None:
-        self.job, self.index, self.attempt = job, index, attempt
-        self.state = "fetching"
-        self.why = ""
-        self.left = 0.0
-        self.fetch = 0.0
-        self.waited = 0.0
-
-
-class Worker:
-    """One machine, its worker and its cloud entry."""
-
-    def __init__(self, world: World, name: str, t: MachineType, zone: str, spot: bool) -> None:
-        self.world = world
-        self.name, self.type, self.zone, self.spot = name, t, zone, spot
-        self.rented = world.now
-        self.up = False
-        self.deleted = False
-        self.hung = False
-        #: reports arrive, but answers and commands do not
-        self.deaf = False
-        #: reports do not leave, while direct commands arrive
-        self.mute = False
-        self.session, self.seq, self.token = 1, 0, 0
-        self.tasks: dict[tuple[str, int], FakeTask] = {}
-        self.renewed = 0.0
-        self.target = 0
-        self.waiting_for = 0
-        self.notice: float | None = None
-        self.fails = False
-
-    @property
-    def live(self) -> dict[tuple[str, int], FakeTask]:
-        return {k: t for k, t in self.tasks.items() if t.state != "exited"}
-
-    def boot(self) -> None:
-        if self.deleted:
-            return
-        self.up = True
-        self.renewed = self.world.now
-        self.step()
-        self.report()
-
-    def body(self) -> Report:
-        self.seq += 1
-        tasks = [TaskReport(t.job, t.index, t.attempt, t.state, t.why) for t in self.tasks.values()]
-        left = None if self.notice is None else max(0.0, self.notice - self.world.now)
-        return Report(
-            self.name,
-            f"{self.name}:9000",
-            self.type.name,
-            self.zone,
-            self.spot,
-            self.session,
-            self.seq,
-            self.token,
-            left,
-            tasks,
-        )
 
-    def report(self) -> None:
-        w = self.world
-        if self.deleted:
-            return
-        if self.hung:
-            w.at(0.5, self.report)
-            return
-        rep, sent, session = self.body(), w.now, self.session
-        self.waiting_for += 1
-        ticket = self.waiting_for
-        node = w.node_names[self.target % len(w.node_names)]
-
-        def answered(status: int, token: int, orders: list[Order], to: str | None) -> None:
-            if self.deleted or ticket != self.waiting_for:
-                return
-            self.waiting_for += 1
-            if self.hung:
-                w.at(0.5, self.report)
-                return
-            if status == 200:
-                if session == self.session and token >= self.token:
-                    self.token = token
-                    self.renewed = max(self.renewed, sent)
-                    self.obey(orders)
-                w.at(w.rng.uniform(0.75, 1.25), self.report)
-            elif status == 421 and to in w.node_names and to != node:
-                self.target = w.node_names.index(to)
-                w.at(w.rng.uniform(0.0, 0.5), self.report)
-            else:
-                self.target += 1
-                w.at(1.0, self.report)
-
-        def timeout() -> None:
-            if not self.deleted and ticket == self.waiting_for:
-                self.waiting_for += 1
-                self.target += 1
-                w.at(1.0, self.report)
-
-        w.at(4.0, timeout)
-        w.send_report(node, rep, answered)
-
-    def direct(self, token: int, session: int, orders: list[Order]) -> None:
-        """A direct command, perhaps late."""
-        if self.deleted or not self.up:
-            return
-        if self.hung:
-            self.world.at(0.5, lambda: self.direct(token, session, orders))
-            return
-        self.expire()
-        if token < self.token or session != self.session:
-            return
-        self.token = token
-        assert all(o.op != "start" for o in orders), "a launch by direct command"
-        self.obey(orders)
-
-    def obey(self, orders: list[Order]) -> None:
-        for o in orders:
-            key = (o.job, o.index)
-            t = self.tasks.get(key)
-            if o.op == "start":
-                if t is not None and t.attempt == o.attempt:
-                    continue
-                self.start(o, t)
-            elif o.op == "stop":
-                if t is not None and t.attempt == o.attempt and t.state != "exited":
-                    t.state, t.why = "exited", "stopped"
-            elif t is not None and t.attempt == o.attempt and t.state == "exited":
-                del self.tasks[key]
-
-    def start(self, o: Order, old: FakeTask | None) -> None:
-        w = self.world
-        key = (o.job, o.index)
-        t = FakeTask(o.job, o.index, o.attempt)
-        s = w.specs[o.job]
-        need = s.need
-        free = [
-            a - sum(w.specs[x.job].need[i] for x in self.live.values())
-            for i, a in enumerate(self.type.size)
-        ]
-        if old is not None and old.state != "exited":
-            return
-        self.tasks[key] = t
-        w.holders.setdefault(o.job, {})[self.name] = self
-        if any(n > f for n, f in zip(need, free, strict=True)):
-            t.state, t.why = "exited", "no_room"
-            return
-        if self.fails or s.cls == "bad":
-            t.state, t.why = "exited", "error"
-            return
-        w.check_start(self, t)
-        t.left = 0.2 if key in w.results else w.durations.get(key) or w.run_s(s)
-        t.fetch = w.fetch_s
-
-    def expire(self) -> None:
-        w = self.world
-        if w.now - self.renewed > w.lease_s:
-            self.tasks = {}
-            self.session += 1
-            self.renewed = w.now
-            self.waiting_for += 1
-            w.at(0.1, self.report)
-
-    def back_at_once(self) -> None:
-        """The machine restarts within a fraction of a second: a new session, nothing on it."""
-        self.tasks = {}
-        self.session += 1
-        self.renewed = self.world.now
-        self.waiting_for += 1
-        self.world.at(self.world.rng.uniform(0.05, 0.5), self.report)
-
-    def step(self) -> None:
-        """A quarter of a second passes."""
-        w = self.world
-        if self.deleted:
-            return
-        w.at(0.25, self.step)
-        if self.hung:
-            if w.now - self.renewed > w.lease_s:
-                self.tasks = {}
-            return
-        self.expire()
-        for t in list(self.tasks.values()):
-            s = w.specs[t.job]
-            if t.state == "fetching" and t.fetch > 0.0:
-                t.fetch -= 0.25
-            elif t.state == "fetching":
-                t.state = "waiting" if s.kind == GANG else "running"
-            elif t.state == "waiting":
-                t.waited += 0.25
-                gang = w.gang(t)
-                if len(gang) == s.tasks and all(x.state == "waiting" for _, x in gang):
-                    for _, x in gang:
-                        x.state = "running"
-                elif t.waited > w.settings[0].cluster.workers.gang_wait_s:
-                    t.state, t.why = "exited", "alone"
-            elif t.state == "running":
-                gang = w.gang(t) if s.kind == GANG else []
-                if s.kind == GANG and (len(gang) < s.tasks or any(m.hung for m, _ in gang)):
-                    t.waited += 0.25
-                    if t.waited > w.settings[0].cluster.workers.gang_peer_s:
-                        t.state, t.why = "exited", "peers"
-                    continue
-                t.waited = 0.0
-                t.left -= 0.25
-                if t.left <= 0:
-                    for x in [x for _, x in gang] or [t]:
-                        x.state, x.why = "exited", "done"
-                        w.results.add((x.job, x.index))
-
-
-class World:
+class World(Rules):
     """Everything around the controllers, and the checks."""
 
     def __init__(self, seed: int = 1, nodes: int = 3, **cluster: Any) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -342,15 +64,7 @@
         #: workers that were ever told to start a task of a job
         self.holders: dict[str, dict[str, Worker]] = {}
         self.results: set[tuple[str, int]] = set()
-        self.broken: list[str] = []
-        self.accepted: dict[str, float] = {}
-        self.told: dict[str, str] = {}
-        #: job -> the final state that a user was told first, and the place of that answer in the
-        #: order of all requests and such answers
-        self.final_told: dict[str, tuple[str, int]] = {}
-        self.cancel_told: dict[str, float] = {}
         self.cancel_asked: set[str] = set()
-        self.starts: list[tuple[float, str, int, str, int]] = []
         #: share of state calls whose answer is lost although they are carried out
         self.lose_answers = 0.0
         #: usual time that the state service takes over an operation, when it is slow
@@ -363,10 +77,6 @@
         self.fetch_s = 0.0
         #: run times of tasks for which they are set
         self.durations: dict[tuple[str, int], float] = {}
-        #: since when the troubles are over, as the story says; what waits is judged from then on
-        self.quiet_since: float | None = None
-        #: job -> since when it has waited beside room
-        self._beside: dict[str, float] = {}
         #: how much later a commit of a node is carried out, unanswered; None: at once
         self.late: Callable[[str, Commit], float | None] = lambda node, commit: None
         #: how much later the answer to what a node asked of the state service arrives, though
@@ -777,46 +487,6 @@
         deliver()
         return out
 
-    def _judge(self, what: str, arg: Any, r: Any, begun: int | None = None) -> None:
-        """Judge an answer to a request that began at a place in the order of all requests."""
-        if begun is None:
-            begun = next(self._ids)
-        job = arg.id if what == "submit" else arg
-        if what == "submit":
-            if r.status in (200, 201):
-                self.accepted.setdefault(job, self.now)
-            elif r.status in (400, 422) and job in self.accepted:
-                self.broken.append(f"forgotten: {job} refused with {r.status}")
-        if r.status == 404 and job in self.accepted:
-            self.broken.append(f"forgotten: {job} answered 404")
-        if r.status in (200, 201):
-            if job not in self.specs:
-                self.broken.append(f"invented: {job}")
-                return
-            self._judge_order(job, r.state, begun)
-            if r.state == "cancelled" and job not in self.cancel_asked:
-                self.broken.append(f"went_back: {job} cancelled by nobody")
-            if r.state == "done":
-                missing = [i for i in range(self.specs[job].tasks) if (job, i) not in self.results]
-                if missing:
-                    self.broken.append(f"not_done: {job} lacks {missing}")
-            if r.state == "cancelled":
-                self.cancel_told.setdefault(job, self.now)
-            self.told[job] = r.state
-
-    def _judge_order(self, job: str, state: str, begun: int) -> None:
-        """Judge that no answer goes back.
-
-        What began before a final state was told may be answered with what was true when it
-        began; two final states may never differ.
-        """
-        final, since = self.final_told.get(job, ("", 0))
-        is_final = state in ("done", "cancelled")
-        if final and state != final and (begun > since or is_final):
-            self.broken.append(f"went_back: {job} from {final} to {state}")
-        if is_final and not final:
-            self.final_told[job] = (state, next(self._ids))
-
     def submit(self, s: JobSpec, node: str | None = None) -> str:
         """Submit as a user does, with retries, until accepted or refused for good."""
         self.specs[s.id] = s
@@ -857,8 +527,6 @@
             self.run(1.0)
         return False
 
-    # --- rules -----------------------------------------------------------------------------
-
     def run_s(self, s: JobSpec) -> float:
         return s.estimate_s if s.kind == GANG else s.estimate_s * self.rng.uniform(0.5, 1.5)
 
@@ -871,124 +539,3 @@
             for x in m.tasks.values()
             if x.job == t.job and x.attempt == t.attempt and x.state in ("waiting", "running")
         ]
-
-    def check_start(self, m: Worker, t: FakeTask) -> None:
-        """The rules that concern a start."""
-        self.starts.append((self.now, t.job, t.index, m.name, t.attempt))
-        s = self.specs[t.job]
-        for other in self.holders.get(t.job, {}).values():
-            x = other.tasks.get((t.job, t.index))
-            if x is not None and x is not t and x.state != "exited" and not other.deleted:
-                self.broken.append(f"ran_twice: {t.job}/{t.index} on {m.name} and {other.name}")
-        if (s.types is not None and m.type.name not in s.types) or (
-            s.zone is not None and m.zone != s.zone
-        ):
-            self.broken.append(f"wrong_place: {t.job} on {m.name}")
-        if m.spot and not s.spot:
-            self.broken.append(f"wrong_place: {t.job} on spot {m.name}")
-        zones = [
-            x.zone
-            for x in self.holders.get(t.job, {}).values()
-            if not x.deleted
-            for y in x.live.values()
-            if y.job == t.job
-        ]
-        if s.one_zone and len(set(zones)) > 1:
-            self.broken.append(f"wrong_place: {t.job} in {set(zones)}")
-        if s.spread and zones.count(m.zone) > (s.tasks + 1) // 2:
-            self.broken.append(f"wrong_place: {t.job} has too many in {m.zone}")
-        told = self.cancel_told.get(t.job)
-        if told is not None and self.now > told + self.cancel_s:
-            self.broken.append(f"ran_cancelled: {t.job} starts")
-
-    def _check(self) -> None:
-        self.at(0.25, self._check)
-        self._watch_waiting()
-        self.broken += self.state.unsafe
-        self.state.unsafe.clear()
-        used: dict[str, float] = {}
-        for m in self.workers.values():
-            if m.deleted:
-                continue
-            for t in m.live.values():
-                s = self.specs[t.job]
-                used[s.team] = used.get(s.team, 0.0) + s.cpus
-                told = self.cancel_told.get(t.job)
-                if told is not None and self.now > told + self.cancel_s:
-                    self.broken.append(f"ran_cancelled: {t.job} on {m.name}")
-        for team in self.settings[0].cluster.teams:
-            if used.get(team.name, 0.0) > team.cpu_limit + 1e-9:
-                self.broken.append(f"quota: {team.name} uses {used[team.name]}")
-
-    def _watch_waiting(self) -> None:
-        """Once troubles are over, no job waits 90 s beside a machine with room for it while its
-        team is under its limit.
-        """
-        if self.quiet_since is None:
-            self._beside.clear()
-            return
-        limits = {t.name: t.cpu_limit for t in self.settings[0].cluster.teams}
-        rooms = []
-        for m in self.workers.values():
-            if not m.deleted and m.up and not m.hung and m.notice is None:
-                live = [self.specs[t.job].need for t in m.live.values()]
-                free = [a - sum(n[i] for n in live) for i, a in enumerate(m.type.size)]
-                rooms.append((m, free))
-                for t in m.live.values():
-                    s = self.specs[t.job]
-                    limits[s.team] -= s.cpus
-        for job in self.accepted:
-            s = self.specs[job]
-            on = {
-                t.index
-                for m in self.holders.get(job, {}).values()
-                for t in m.live.values()
-                if t.job == job and not m.deleted
-            }
-            done = {i for j, i in self.results if j == job}
-            waits = s.tasks - len(on | done)
-            over = self.told.get(job) in ("done", "cancelled")
-            if job in self.cancel_asked or waits <= 0 or over:
-                self._beside.pop(job, None)
-                continue
-            whole = s.kind == GANG
-            fits = sum(
-                min((f // n for f, n in zip(free, s.need, strict=True) if n), default=0)
-                for m, free in rooms
-                if s.may_run_on(m.type.name, m.zone, m.spot)
-                and (not s.one_zone or not on or m.zone in self._zones_of(job))
-            )
-            enough = fits >= (s.tasks if whole else 1) and not (whole and on)
-            if not enough or limits[s.team] < s.cpus * (s.tasks if whole else 1):
-                self._beside.pop(job, None)
-                continue
-            since = self._beside.setdefault(job, self.now)
-            last = max((t for t, j, *_ in self.starts[-200:] if j == job), default=0.0)
-            if self.now - max(since, last) > 90.0:
-                self.broken.append(f"waits: {job} beside room")
-                self._beside[job] = self.now
-
-    def _zones_of(self, job: str) -> set[str]:
-        return {
-            m.zone
-            for m in self.holders.get(job, {}).values()
-            if not m.deleted and any(t.job == job for t in m.live.values())
-        }
-
-    def unserved(self) -> list[str]:
-        """Classes and teams of which less than half of what was accepted and not cancelled is
-        done, and jobs that did not begin within four minutes.
-        """
-        out = []
-        began: dict[str, float] = {}
-        for t, job, *_ in self.starts:
-            began.setdefault(job, t)
-        jobs = [j for j in self.accepted if j not in self.cancel_asked]
-        kinds: dict[str, list[bool]] = {}
-        for j in jobs:
-            over = all((j, i) in self.results for i in range(self.specs[j].tasks))
-            for kind in (f"class {self.specs[j].cls}", f"team {self.specs[j].team}"):
-                kinds.setdefault(kind, []).append(over)
-            if began.get(j, self.now) - self.accepted[j] > 240.0:
-                out.append(f"late: {j}")
-        return out + [f"unserved: {k}" for k, v in kinds.items() if 2 * sum(v) < len(v)]
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,133 @@
+"""What several test files share: deployments that have begun, and looks inside them."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from marblestair.core import keys
+from marblestair.core.calls import Get, Inspect, PeerCall
+from marblestair.core.controller import Controller
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
+
+
+def warm(seed: int = 1, **cluster: object) -> World:
+    w = World(seed, **cluster)  # type: ignore[arg-type]
+    w.run(4.0)
+    return w
+
+
+def owner(w: World, part: int) -> str:
+    return str(w.state.data[keys.SPLIT][0][1][part][0])
+
+
+def busy(w: World) -> list[Worker]:
+    return [m for m in w.workers.values() if m.up and not m.deleted and m.live]
+
+
+def manager(w: World, job: str) -> str:
+    """The controller that owns a job's manager part."""
+    return owner(w, w.state.data[keys.JOBS + job][0][1])
+
+
+def running(w: World, name: str) -> Controller:
+    """A controller's core, at this moment."""
+    core = w.cores[name]
+    assert core is not None
+    w.set_time(core)
+    return core
+
+
+def steps(do: Callable[[], Any]) -> int:
+    """Calls made by the program while something is done; no time is measured."""
+    count = 0
+
+    def seen(_frame: Any, event: str, _arg: Any) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(seen)
+    try:
+        do()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def cost(w: World, seconds: float) -> dict[str, float]:
+    """Steps per report and per tick of the cores, and bytes per note, over some seconds."""
+    total = {"report": 0, "tick": 0, "note": 0}
+    count = {"report": 0, "tick": 0, "note": 0}
+    plain = {name: getattr(Controller, name) for name in ("report", "tick", "note")}
+
+    def counted(name: str) -> Callable[..., Any]:
+        def call(self: Controller, *args: Any) -> Any:
+            out: list[Any] = []
+            count[name] += 1
+            if name == "note":
+                total[name] += len(msgspec.msgpack.encode(args))
+                return plain[name](self, *args)
+            total[name] += steps(lambda: out.append(plain[name](self, *args)))
+            return out[0]
+
+        return call
+
+    for name in plain:
+        setattr(Controller, name, counted(name))
+    try:
+        w.run(seconds)
+    finally:
+        for name, f in plain.items():
+            setattr(Controller, name, f)
+    return {name: total[name] / max(1, count[name]) for name in total}
+
+
+class Recorder:
+    """Records the calls that one node's flows make, and can hold back its reads."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self.calls: list[Any] = []
+        self.held: list[Any] = []
+        self.holding = False
+        self._world = world
+        self._node = node
+        self._plain = world._call
+        world._call = self._call  # type: ignore[method-assign]
+
+    def _call(self, core: Any, number: int, call: Any) -> None:
+        if core.node == self._node:
+            self.calls.append(call)
+            if self.holding and isinstance(call, Get):
+                self.held.append((core, number, call))
+                return
+        self._plain(core, number, call)
+
+    def release(self) -> None:
+        """Send the reads that were held back."""
+        self.holding = False
+        for core, number, call in self.held:
+            self._plain(core, number, call)
+
+    def reads(self, job: str) -> int:
+        """How often a job's keys were read."""
+        wanted = (keys.JOBS + job, keys.FINALS + job)
+        return sum(isinstance(call, Get) and call.key in wanted for call in self.calls)
+
+    def outside(self) -> int:
+        """How many calls went to the state service or the cloud."""
+        return sum(not isinstance(call, (PeerCall, Inspect)) for call in self.calls)
+
+    def count(self, kind: type) -> int:
+        """How many calls of a kind were made."""
+        return sum(isinstance(call, kind) for call in self.calls)
+
+
+def manager_of(world: World, job: str) -> str:
+    """The node that runs a job's ServerManager."""
+    core = world.cores["n0"]
+    assert core is not None
+    return owner(world, core.view.jobs[job].manager)
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -1,4 +1,4 @@
-"""Stories of the rules and troubles that were added when the deployments grew."""
+"""Scenario tests of the rules and troubles that were added when the deployments grew."""
 
 from __future__ import annotations
 
@@ -13,12 +13,10 @@
 from marblestair.core.model import TaskReport
 from marblestair.core.part import Part
 from marblestair.core.slices import Slice
-from tests.fakes.world import Worker, World, spec
-from tests.test_stories import owner, warm
-
-
-def busy(w: World) -> list[Worker]:
-    return [m for m in w.workers.values() if m.up and not m.deleted and m.live]
+from tests.fakes.deployment import spec
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
+from tests.helpers import busy, owner, warm
 
 
 def apart(w: World) -> None:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,9 +10,9 @@
 from marblestair.core.answers import JobState, JobStatus
 from marblestair.core.calls import Commit, Event, Get, StateResult
 from marblestair.core.flow import Step
-from tests.fakes.world import World, spec
-from tests.test_meetings import manager, running
-from tests.test_stories import owner, warm
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import manager, owner, running, warm
 
 
 def ask_everywhere(w: World, job: str, seconds: float, every: float = 0.05) -> None:
--- a/tests/test_answers_search.py
+++ b/tests/test_answers_search.py
@@ -15,7 +15,8 @@
 
 from marblestair.core.calls import Commit, Get
 from marblestair.core.controller import Controller
-from tests.fakes.world import TYPES, World, spec
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.world import World
 
 #: seconds over which jobs come, and after which the troubles are over
 BUSY_S = 60.0
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,7 @@
 from marblestair.net.http_server import HttpServer
 from marblestair.net.peers import PeerServer, frame
 from marblestair.settings import SettingsError, parse
-from tests.fakes.world import settings
+from tests.fakes.deployment import settings
 
 GOOD: dict[str, Any] = {
     "ref": "job-000412",
@@ -240,7 +240,7 @@
             asyncio.get_running_loop().call_soon(answer)
             return f
 
-    async def story() -> list[tuple[int, bytes]]:
+    async def test() -> list[tuple[int, bytes]]:
         loop = asyncio.get_running_loop()
 
         async def connect(*_: Any) -> tuple[Any, Conn]:
@@ -252,7 +252,7 @@
         calls = [client.request(f"10.1.0.{i}:9", "POST", "/do", b"", 5.0) for i in range(300)]
         return await asyncio.gather(*calls)
 
-    assert asyncio.run(story()) == [(200, b"")] * 300
+    assert asyncio.run(test()) == [(200, b"")] * 300
     assert most <= 5
     assert sum(len(x) for x in client._idle.values()) == client._kept == 7
 
@@ -329,13 +329,13 @@
 def test_the_budget_lets_the_lower_lane_go_first_and_serves_small_rates() -> None:
     from marblestair.net.budget import Budget
 
-    async def story() -> list[str]:
+    async def test() -> list[str]:
         b = Budget(0.6, 1.0, max_wait_s=0.0)
         assert await b.take(1, 0)
         # The bucket is empty now; a call that cannot wait is told so at once.
         return ["refused" if not await b.take(0, 0) else "served"]
 
-    assert asyncio.run(story()) == ["refused"]
+    assert asyncio.run(test()) == ["refused"]
 
 
 @pytest.mark.parametrize(
@@ -363,7 +363,7 @@
     field: str, changes: dict[str, Any]
 ) -> None:
     from marblestair.settings import SettingsError
-    from tests.fakes.world import settings
+    from tests.fakes.deployment import settings
 
     with pytest.raises(SettingsError, match=field.replace(".", r"\.")):
         settings(0, 3, **changes)
--- a/tests/test_boots.py
+++ b/tests/test_boots.py
@@ -8,8 +8,10 @@
 from marblestair.core.machine import Machine
 from marblestair.core.split import MachineRecord
 from marblestair.core.summary import summarise
-from tests.fakes.world import TYPES, Worker, World, spec
-from tests.test_stories import owner
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
+from tests.helpers import owner
 
 KIND = TYPES[0]
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -11,7 +11,9 @@
 from marblestair.core.calls import Commit, LeaseGrant, Put
 from marblestair.core.messages import Reply
 from marblestair.core.model import Order
-from tests.fakes.world import TYPES, Worker, World, spec
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
 
 
 def bare(**job: Any) -> World:
--- /dev/null
+++ b/tests/test_cost_of_a_job.py
@@ -0,0 +1,153 @@
+"""What one job costs from its acceptance to its end, on 300 machines and on 900."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from marblestair.core.calls import Commit, Get, PeerCall
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import manager, steps
+from tests.test_fleet import fill, fleet
+
+#: jobs that are measured, each by itself
+JOBS = 8
+
+
+class Cost(msgspec.Struct):
+    """What was sent because of one job."""
+
+    reads: int = 0
+    commits: int = 0
+    changes: int = 0
+    messages: int = 0
+    bytes: int = 0
+    steps: int = 0
+
+    def added(self, other: Cost) -> Cost:
+        """The sum of both."""
+        pairs = zip(msgspec.structs.astuple(self), msgspec.structs.astuple(other), strict=True)
+        return Cost(*(a + b for a, b in pairs))
+
+
+#: the most that one job may cost on the average of all that are measured; half of them are
+#: cancelled, the others finish
+MOST = {
+    # Its record, and the first reports of its slices.
+    "accepted": Cost(reads=0, commits=1, changes=1, messages=3, bytes=250, steps=200),
+    # From memory, but for what its parts report.
+    "polled": Cost(reads=0, commits=0, changes=0, messages=2, bytes=60, steps=80),
+    # One call to the manager's owner.
+    "polled elsewhere": Cost(reads=0, commits=0, changes=0, messages=3, bytes=60, steps=80),
+    # The entry, and the final state together with the deletion of the record; a call to each
+    # other owner that holds a slice.
+    "cancelled": Cost(reads=0, commits=1, changes=2, messages=8, bytes=400, steps=80),
+    # Pages of progress of three parts, the final state, the deletions.
+    "finished": Cost(reads=1, commits=5, changes=6, messages=20, bytes=800, steps=0),
+}
+
+
+class Meter:
+    """Counts what the nodes send to the state service and to one another about a job."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.job = ""
+        self.cost = Cost()
+        self._call, self._note = world._call, world._note
+        world._call = self._count_call  # type: ignore[method-assign]
+        world._note = self._count_note  # type: ignore[method-assign]
+
+    def about(self, job: str) -> Cost:
+        """Begin to count for a job."""
+        self.job, self.cost = job, Cost()
+        return self.cost
+
+    def _count_call(self, core: Any, number: int, call: Any) -> None:
+        if isinstance(call, Get) and self.job in call.key:
+            self.cost.reads += 1
+        elif isinstance(call, Commit):
+            changed = [*(put.key for put in call.puts), *call.deletes]
+            mine = sum(self.job in key for key in changed)
+            self.cost.commits += bool(mine)
+            self.cost.changes += mine
+            values = [put.value for put in call.puts if self.job in put.key]
+            self.cost.bytes += len(msgspec.msgpack.encode(values)) if mine else 0
+        elif isinstance(call, PeerCall) and self.job in call.args:
+            self.cost.messages += 1
+            self.cost.bytes += len(msgspec.msgpack.encode(call.args))
+        self._call(core, number, call)
+
+    def _count_note(self, sender: str, note: Any) -> None:
+        if note.tag == "progress":
+            told = [report for report in note.args if report[0] == self.job]
+            self.cost.messages += len(told)
+            self.cost.bytes += len(msgspec.msgpack.encode(told)) if told else 0
+        self._note(sender, note)
+
+
+class Ask(msgspec.Struct):
+    """One request, whose steps are counted."""
+
+    world: World
+    node: str
+    what: str
+    arg: Any
+
+    def __call__(self) -> None:
+        self.world.ask(self.node, self.what, self.arg)
+
+
+def costs(machines: int) -> dict[str, Cost]:
+    """What accepted, polled, cancelled and finished jobs cost, summed over some of each."""
+    w = fleet(61, machines)
+    fill(w, 1, machines // 10, 40, estimate_s=300.0, deadline_s=None)
+    w.run(20.0)
+    meter = Meter(w)
+    total = {name: Cost() for name in MOST}
+
+    def count(name: str, ask: Ask | None, job: str, seconds: float) -> None:
+        cost = meter.about(job)
+        if ask is not None:
+            cost.steps += steps(ask)
+        w.run(seconds)
+        total[name] = total[name].added(cost)
+
+    for number in range(5000, 5000 + JOBS):
+        job = spec(number, tasks=12, team="red", mem_gb=0.5, estimate_s=4.0, spot=True)
+        w.specs[job.id] = job
+        count("accepted", Ask(w, "n0", "submit", job), job.id, 0.1)
+        meter.about("none")
+        w.run(1.0)
+        home = manager(w, job.id)
+        away = next(name for name in w.node_names if name != home)
+        count("polled", Ask(w, home, "query", job.id), job.id, 0.1)
+        count("polled elsewhere", Ask(w, away, "query", job.id), job.id, 0.1)
+        if number % 2:
+            w.cancel_asked.add(job.id)
+            count("cancelled", Ask(w, home, "cancel", job.id), job.id, 8.0)
+        else:
+            count("finished", None, job.id, 30.0)
+        assert w.until(lambda: bool(w.state_of(job.id)), 5.0)  # noqa: B023 - asked at once
+        assert w.told[job.id] == ("cancelled" if number % 2 else "done")
+    assert not w.broken, w.broken[:3]
+    return total
+
+
+@pytest.fixture(scope="module")
+def both() -> tuple[dict[str, Cost], dict[str, Cost]]:
+    return costs(300), costs(900)
+
+
+@pytest.mark.parametrize("name", sorted(MOST))
+def test_what_a_job_costs_is_bounded_on_three_times_as_many_machines(
+    name: str, both: tuple[dict[str, Cost], dict[str, Cost]]
+) -> None:
+    for total in both:
+        for field, most in msgspec.structs.asdict(MOST[name]).items():
+            assert getattr(total[name], field) <= most * JOBS, (field, total[name])
+    small, large = both
+    assert large[name].steps <= 1.1 * small[name].steps, (small[name], large[name])
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,12 +6,15 @@
 
 from marblestair.core.faults import REMEMBERED, Faults
 from marblestair.core.machine import Machine
+from marblestair.core.model import Order
 from marblestair.core.part import Part
 from marblestair.core.retiring import broken
 from marblestair.core.slices import Slice
 from marblestair.settings import Workers
-from tests.fakes.world import TYPES, FakeTask, Order, Worker, World, spec
-from tests.test_stories import owner, warm
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.worker import FakeTask, Worker
+from tests.fakes.world import World
+from tests.helpers import owner, warm
 
 WORKERS = Workers(report_s=1.0, lease_s=10.0, gang_wait_s=30.0, gang_peer_s=5.0, cancel_s=30.0)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Stories of fleets of hundreds of machines: what an event may cost, and many falling together."""
+"""Scenario tests of fleets of hundreds of machines: cost of an event, many falling at once."""
 
 from __future__ import annotations
 
@@ -12,8 +12,10 @@
 from marblestair.core.machine import Machine
 from marblestair.core.model import MachineType
 from marblestair.core.slices import Slice
-from tests.fakes.world import Worker, World, spec
-from tests.test_growth import cost
+from tests.fakes.deployment import spec
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
+from tests.helpers import cost
 
 KINDS = [
     MachineType("m16", 16.0, 0.0, 64.0, 50.0, 1.0, 1.0, 0.35, 4.0, ["a", "b", "c"]),
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,22 +1,19 @@
-"""Stories of size: large fleets, what an event may cost, and gangs of several whole machines."""
+"""Scenario tests of size: large fleets, the cost of an event, gangs of several whole machines."""
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from marblestair.core import keys
-from marblestair.core.controller import Controller
 from marblestair.core.machine import Machine
 from marblestair.core.model import MachineType
 from marblestair.core.part import Part
 from marblestair.core.retiring import nearly_empty
 from marblestair.core.slices import Slice
 from marblestair.core.summary import summarise
-from tests.fakes.world import World, spec
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import cost
 
 LARGE = [
     MachineType("m16", 16.0, 0.0, 64.0, 50.0, 1.0, 1.0, 0.35, 5.0, ["a", "b"]),
@@ -68,50 +65,6 @@
     return out
 
 
-def steps(do: Callable[[], Any]) -> int:
-    """Calls made by the program while something is done; no time is measured."""
-    count = 0
-
-    def seen(_frame: Any, event: str, _arg: Any) -> None:
-        nonlocal count
-        count += event in ("call", "c_call")
-
-    sys.setprofile(seen)
-    try:
-        do()
-    finally:
-        sys.setprofile(None)
-    return count
-
-
-def cost(w: World, seconds: float) -> dict[str, float]:
-    """Steps per report and per tick of the cores, and bytes per note, over some seconds."""
-    total = {"report": 0, "tick": 0, "note": 0}
-    count = {"report": 0, "tick": 0, "note": 0}
-    plain = {name: getattr(Controller, name) for name in ("report", "tick", "note")}
-
-    def counted(name: str) -> Callable[..., Any]:
-        def call(self: Controller, *args: Any) -> Any:
-            out: list[Any] = []
-            count[name] += 1
-            if name == "note":
-                total[name] += len(msgspec.msgpack.encode(args))
-                return plain[name](self, *args)
-            total[name] += steps(lambda: out.append(plain[name](self, *args)))
-            return out[0]
-
-        return call
-
-    for name in plain:
-        setattr(Controller, name, counted(name))
-    try:
-        w.run(seconds)
-    finally:
-        for name, f in plain.items():
-            setattr(Controller, name, f)
-    return {name: total[name] / max(1, count[name]) for name in total}
-
-
 def test_a_large_fleet_keeps_every_rule_at_a_cost_per_event_that_does_not_grow() -> None:
     aims = [{"kind": "wait", "class": "g", "within_s": 8.0, "share": 0.9}]
     small = fleet(7, 5, 40, 300.0, objectives=aims)
--- a/tests/test_guest_scale.py
+++ b/tests/test_guest_scale.py
@@ -8,8 +8,9 @@
 import pytest
 
 from marblestair.core import keys
-from tests.fakes.world import World, spec
-from tests.test_growth import steps
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import steps
 
 TEAMS = [
     {"name": "red", "cpus": 8.0, "cpus_max": 24.0},
--- a/tests/test_guest_teams.py
+++ b/tests/test_guest_teams.py
@@ -11,7 +11,8 @@
 from marblestair.core.slices import Slice
 from marblestair.core.split import first
 from marblestair.settings import UNLIMITED, Team
-from tests.fakes.world import TYPES, World, spec
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.world import World
 
 #: a team with a guarantee and a limit, and a guest with neither
 OWNER = Team("red", 8.0, 24.0)
--- a/tests/test_lookups.py
+++ b/tests/test_lookups.py
@@ -7,57 +7,9 @@
 import pytest
 
 from marblestair.core import keys
-from marblestair.core.calls import LEASE, LOOKUP, Commit, Get, Inspect, ListKeys, PeerCall
-from tests.fakes.world import World, spec
-from tests.test_growth import steps
-from tests.test_stories import owner, warm
-
-
-class Recorder:
-    """Records the calls that one node's flows make, and can hold back its reads."""
-
-    def __init__(self, world: World, node: str) -> None:
-        self.calls: list[Any] = []
-        self.held: list[Any] = []
-        self.holding = False
-        self._world = world
-        self._node = node
-        self._plain = world._call
-        world._call = self._call  # type: ignore[method-assign]
-
-    def _call(self, core: Any, number: int, call: Any) -> None:
-        if core.node == self._node:
-            self.calls.append(call)
-            if self.holding and isinstance(call, Get):
-                self.held.append((core, number, call))
-                return
-        self._plain(core, number, call)
-
-    def release(self) -> None:
-        """Send the reads that were held back."""
-        self.holding = False
-        for core, number, call in self.held:
-            self._plain(core, number, call)
-
-    def reads(self, job: str) -> int:
-        """How often a job's keys were read."""
-        wanted = (keys.JOBS + job, keys.FINALS + job)
-        return sum(isinstance(call, Get) and call.key in wanted for call in self.calls)
-
-    def outside(self) -> int:
-        """How many calls went to the state service or the cloud."""
-        return sum(not isinstance(call, (PeerCall, Inspect)) for call in self.calls)
-
-    def count(self, kind: type) -> int:
-        """How many calls of a kind were made."""
-        return sum(isinstance(call, kind) for call in self.calls)
-
-
-def manager_of(world: World, job: str) -> str:
-    """The node that runs a job's ServerManager."""
-    core = world.cores["n0"]
-    assert core is not None
-    return owner(world, core.view.jobs[job].manager)
+from marblestair.core.calls import LEASE, LOOKUP, Commit, Get, ListKeys, PeerCall
+from tests.fakes.deployment import spec
+from tests.helpers import Recorder, manager_of, steps, warm
 
 
 def test_a_poll_of_the_manager_costs_no_call() -> None:
--- a/tests/test_lost_workers.py
+++ b/tests/test_lost_workers.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.fakes.world import World, spec
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
 
 
 def parts_of(world: World, node: str) -> list[int]:
--- a/tests/test_meetings.py
+++ b/tests/test_overlapping_troubles.py
@@ -1,4 +1,4 @@
-"""Stories of two troubles that meet; docs/meetings.md lists the meetings and their stories."""
+"""Scenario tests of two troubles at once; docs/overlapping_troubles.md lists them."""
 
 from __future__ import annotations
 
@@ -10,16 +10,16 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import Commit
-from marblestair.core.controller import Controller
 from marblestair.core.machine import Machine
 from marblestair.core.managed import PartReport
 from marblestair.core.part import Part
 from marblestair.core.planning import plan
 from marblestair.core.renting import Have, Load, Tuning
 from marblestair.core.slices import Slice
-from tests.fakes.world import TYPES, Worker, World, spec
-from tests.test_added_rules import busy
-from tests.test_stories import owner, warm
+from tests.fakes.deployment import TYPES, spec
+from tests.fakes.worker import Worker
+from tests.fakes.world import World
+from tests.helpers import busy, manager, owner, running, warm
 
 
 def leader(w: World, job: str) -> str:
@@ -33,19 +33,6 @@
     return {owner(w, w.state.data[keys.MACHINES + m.name][0][0]) for m in holders(w, job)}
 
 
-def manager(w: World, job: str) -> str:
-    """The controller that owns a job's manager part."""
-    return owner(w, w.state.data[keys.JOBS + job][0][1])
-
-
-def running(w: World, name: str) -> Controller:
-    """A controller's core, at this moment."""
-    core = w.cores[name]
-    assert core is not None
-    w.set_time(core)
-    return core
-
-
 def holders(w: World, job: str) -> list[Worker]:
     return [m for m in busy(w) if any(t.job == job for t in m.live.values())]
 
@@ -322,7 +309,7 @@
     assert not w.broken
 
 
-# --- the meetings, at moments drawn at random ----------------------------------------------------
+# --- overlapping troubles, at moments drawn at random --------------------------------------------
 #
 # Each begins with a mix of jobs under way, plays its troubles while users ask and cancel, and ends
 # in quiet: then no rule may have been broken, every job is answered for, and what was not cancelled
@@ -665,7 +652,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("meeting", sorted(MEETINGS))
-def test_meetings_break_no_rule_and_leave_nothing_behind(meeting: str, seed: int) -> None:
+def test_overlapping_troubles_break_no_rule(meeting: str, seed: int) -> None:
     p = Play(5000 + 100 * sorted(MEETINGS).index(meeting) + seed)
     w = p.w
     if meeting != "odd_requests":
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -1,4 +1,4 @@
-"""Stories of controllers that stand still for seconds while their clocks run on, and of gangs that
+"""Scenario tests of controllers that stand still while their clocks run on, and of gangs that
 lose members at any moment.
 
 A pause is put at a critical point: what was decided before it is handed over after it. Late copies
@@ -15,9 +15,9 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import Commit, PeerCall
-from tests.fakes.world import World, spec
-from tests.test_lookups import Recorder, manager_of
-from tests.test_stories import owner, warm
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import Recorder, manager_of, owner, warm
 
 
 def is_commit(what: str, value: Any) -> bool:
@@ -97,7 +97,7 @@
             if point == "question" and not hit:
                 w.state_of(jobs[0])
         w.run((leases + 1.0) * w.lease_s)
-        assert hit, "the story never came to its point"
+        assert hit, "the test never came to its point"
         w.on_point = None
         assert all(w.finish(j, 150.0) for j in jobs)
         w.run(w.cancel_s)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,7 +11,7 @@
 from marblestair import cli
 from marblestair.core.shares import order_key
 from marblestair.policy import PolicyError, load
-from tests.fakes.world import settings, spec
+from tests.fakes.deployment import settings, spec
 
 
 def test_a_script_tunes_and_leads(tmp_path: pathlib.Path) -> None:
--- a/tests/test_rental_intents.py
+++ b/tests/test_rental_intents.py
@@ -8,8 +8,9 @@
 
 from marblestair.core import keys, progress
 from marblestair.core.calls import CloudRent
-from tests.fakes.world import World, spec
-from tests.test_stories import owner
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import owner
 
 
 class Rentals:
--- a/tests/test_stories.py
+++ b/tests/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Stories of whole deployments, told against the fakes under simulated time."""
+"""Scenario tests of whole deployments, told against the fakes under simulated time."""
 
 from __future__ import annotations
 
@@ -8,17 +8,9 @@
 import pytest
 
 from marblestair.core import keys, split
-from tests.fakes.world import World, spec
-
-
-def warm(seed: int = 1, **cluster: object) -> World:
-    w = World(seed, **cluster)  # type: ignore[arg-type]
-    w.run(4.0)
-    return w
-
-
-def owner(w: World, part: int) -> str:
-    return str(w.state.data[keys.SPLIT][0][1][part][0])
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import owner, warm
 
 
 def test_quiet_run_of_arrays_and_gangs() -> None:
