--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -17,6 +17,7 @@
 from marblestair.core.flow import Step
 from marblestair.core.migrate import reserve
 from marblestair.core.model import DESCRIPTION, GANG, JobRecord, JobSpec, too_large
+from marblestair.core.parents import Parents, ParentsState, look_up
 from marblestair.core.placement import gang_fits
 from marblestair.core.shares import refusal
 
@@ -31,6 +32,8 @@
 #: seconds after which a user who was refused for now may come back: usually, without a part to
 #: accept into, and when the state service refuses the record itself
 RETRY_S, NO_PART_RETRY_S, REFUSED_RETRY_S = 1, 2, 5
+#: awaited jobs named in a log line
+LOGGED_PARENTS = 8
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -62,6 +65,30 @@
         reason = self._refusal(spec)
         if reason is not None:
             return (yield from self._refused(spec, reason))
+        if spec.awaits:
+            return (yield from self._submit_waiting(spec))
+        return (yield from self._admit(spec))
+
+    def _submit_waiting(self, spec: JobSpec) -> Step:
+        """Accept or refuse a job that awaits others."""
+        found: Parents = yield from look_up(self._controller, spec.awaits)
+        if found.state is ParentsState.UNDECIDED:
+            return Outcome(503, UNKNOWN, f"nothing known of {found.deciding} yet", RETRY_S)
+        if found.state is ParentsState.UNKNOWN:
+            reason = f"it awaits {found.deciding}, which was never accepted"
+            return (yield from self._refused(spec, reason))
+        # What is done stays done: only the others need be remembered.
+        awaiting = msgspec.structs.replace(spec, awaits=found.unfinished)
+        if found.state is ParentsState.CANCELLED:
+            return (yield from self._accept_cancelled(awaiting, found.deciding))
+        if self._is_too_large(awaiting):
+            # Fewer are left to await before long.
+            error = "it awaits more unfinished jobs than can be kept"
+            return Outcome(503, UNKNOWN, error, REFUSED_RETRY_S)
+        return (yield from self._admit(awaiting))
+
+    def _admit(self, spec: JobSpec) -> Step:
+        """Accept a job if the stage of commits has a place for it."""
         manager = self._manager_part()
         if manager is None:
             return Outcome(503, UNKNOWN, "no part to accept into", NO_PART_RETRY_S)
@@ -84,11 +111,14 @@
         reason = refusal(spec, controller.teams, list(controller.types.values()))
         if reason is not None:
             return reason
-        value_kb = controller.settings.cluster.state.value_kb
-        if too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION):
+        if self._is_too_large(msgspec.structs.replace(spec, awaits=[])):
             return "the description is larger than what can be kept"
         return None
 
+    def _is_too_large(self, spec: JobSpec) -> bool:
+        value_kb = self._controller.settings.cluster.state.value_kb
+        return too_large(JobRecord(spec, 0, {}, []), value_kb, DESCRIPTION)
+
     def _refused(self, spec: JobSpec, reason: str) -> Step:
         """Refuse a job for good, unless it was accepted before: then it is known."""
         status: JobStatus | None = yield from self._controller.answers.lookup(spec.id)
@@ -147,6 +177,22 @@
                 return Outcome(200, status)
         return Outcome(503, UNKNOWN, "state service unavailable", RETRY_S)
 
+    def _accept_cancelled(self, spec: JobSpec, parent: str) -> Step:
+        """Accept a job that awaits a cancelled one: it is over from the start."""
+        controller = self._controller
+        if not controller.authority.holds(controller.now):
+            return Outcome(503, UNKNOWN, "no authority", RETRY_S)
+        final_key = keys.FINALS + spec.id
+        guards = [(keys.JOBS + spec.id, 0), (final_key, 0)]
+        commit = Commit(guards, [Put(final_key, JobState.CANCELLED)], [], ACCEPT)
+        result: StateResult = yield commit
+        if result.status == 200:
+            controller.answers.final(spec.id, JobState.CANCELLED)
+            controller.log("info", f"accepted {spec.id} as cancelled, like {parent} before it")
+            return Outcome(201, JobStatus(JobState.CANCELLED))
+        # Perhaps an earlier try, or another node's; the next one finds what became of it.
+        return Outcome(503, UNKNOWN, "not accepted yet", RETRY_S)
+
     def _log_accepted(self, spec: JobSpec, record: JobRecord) -> None:
         sizes = {
             part: sum(end - start for start, end in ranges)
@@ -156,7 +202,7 @@
         self._controller.log(
             "info",
             f"accepted {spec.id}: {spec.kind} of {spec.cls} for {spec.team}, tasks by part"
-            f" {sizes}{', within its guarantee' if guaranteed else ''}",
+            f" {sizes}{', within its guarantee' if guaranteed else ''}{_awaiting(spec)}",
         )
 
     # --- slices ----------------------------------------------------------------------------
@@ -228,3 +274,11 @@
             # Several that come at once are not all sent to the same machine.
             reserve(told[best], spec, count)
         return best
+
+
+def _awaiting(spec: JobSpec) -> str:
+    """What a job waits for, for the log."""
+    if not spec.awaits:
+        return ""
+    more = ", ..." if len(spec.awaits) > LOGGED_PARENTS else ""
+    return f", waits for {', '.join(spec.awaits[:LOGGED_PARENTS])}{more}"
--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -93,6 +93,7 @@
         self.finals[job] = state
         while len(self.finals) > REMEMBERED:
             self.finals.popitem(last=False)
+        self.controller.pipelines.ended(job, state)
 
     def may_tell(self, job: str, found: ProvenStatus | None) -> JobStatus | None:
         """What may be told of a job that was found in a status; None when nothing may be.
@@ -120,11 +121,18 @@
         if not managed.is_settled:
             # The end may be committed already, and others may have told it.
             return None
+        if record.is_waiting and not self._may_wait(job):
+            return None
         done = min(managed.tasks_done, record.spec.tasks)
         running = managed.tasks_running
         state = JobState.RUNNING if running or done else JobState.QUEUED
         return ProvenStatus(JobStatus(state, done, running), Proof.MANAGER)
 
+    def _may_wait(self, job: str) -> bool:
+        """Whether this node knows enough to tell of a job that it waits for others."""
+        pipelines = self.controller.pipelines
+        return pipelines.view_reaches(job) and not pipelines.has_cancelled_ancestor(job)
+
     def lookup(self, job: str) -> Step:
         """The status of any job: UNKNOWN, or None when it cannot be told now."""
         local = self.local(job)
@@ -168,6 +176,10 @@
             # The record was read before the job ended, and the view is past its end: its entry
             # is forgotten, and its final state is not read yet.
             return self.may_tell(job, None)
+        record = controller.view.jobs.get(job)
+        if record is not None and record.is_waiting:
+            if not (yield from controller.pipelines.may_tell_waiting(record, lane)):
+                return self.may_tell(job, None)
         managed = controller.jobs.managed.get(job)
         done = managed.tasks_done if managed is not None else 0
         state = JobState.RUNNING if done else JobState.QUEUED
@@ -200,6 +212,22 @@
             return JobStatus(JobState(f.value))
         return UNKNOWN if f.status == 404 else None
 
+    def find_final(self, job: str, lane: int) -> Step:
+        """Look first for a job's final state, then for its record, by fresh reads.
+
+        UNKNOWN, or None when that could not be told. A job that the view lacks is most often over.
+        """
+        if self.controller.cut_off():
+            return None
+        got: StateResult = yield Get(keys.FINALS + job, lane)
+        if got.status == 200 and got.value in FINAL_STATES:
+            self.final(job, JobState(got.value))
+            return JobStatus(JobState(got.value))
+        if got.status != 404:
+            return None
+        # Between the two reads it may have ended: the next one looks for both, in that order.
+        return (yield from self.read(job, lane))
+
     def refresh(self, job: str) -> Step:
         """Read a job's record afresh; whether that succeeded."""
         return (yield from self.read(job)) is not None
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -19,11 +19,10 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from marblestair.core import keys
 from marblestair.core.calls import ACCEPT, Commit, PeerCall, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
+from marblestair.core.model import CANCEL
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -82,6 +81,7 @@
             e = self._entries[job] = Entry(rev, controller.now)
             for p in controller.parts.values():
                 p.cancel(job, controller.now)
+            controller.pipelines.cancelled(job)
         return e
 
     def changed(self, job: str) -> None:
@@ -116,8 +116,12 @@
             return None
         over = controller.now - e.since > OVER_LEASES * controller.settings.cluster.workers.lease_s
         out = []
-        # The manager's owner, too: it may act by telling users of the job.
-        for number in {record.manager, *map(int, record.slices)}:
+        # The manager's owner, too: it may act by telling users of the job. Those of the managers
+        # of jobs that need it, likewise: they may tell that such a job is queued.
+        numbers = {record.manager, *map(int, record.slices)}
+        for descendant in controller.pipelines.descendants(job):
+            numbers.add(controller.view.jobs[descendant].manager)
+        for number in sorted(numbers):
             part = s.parts[number]
             if (part.owner, part.incarnation) == controller.me or e.applied.get(
                 number
@@ -222,9 +226,7 @@
         if state is None or record is None or record.cancelled:
             return
         key = keys.JOBS + job
-        new = msgspec.structs.replace(
-            record, changes=[*record.changes, ["cancel", len(record.changes) + 1]]
-        )
+        new = record.with_entry(CANCEL)
         commit = Commit([(key, controller.view.version(key))], [Put(key, new)], [], ACCEPT)
         r: StateResult = yield commit
         if r.status == 200:
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -30,12 +30,14 @@
 from marblestair.core.migration_locks import MigrationLocks
 from marblestair.core.model import UNIT, MachineType, Order, Report
 from marblestair.core.part import Part
+from marblestair.core.pipelines import Pipelines
 from marblestair.core.preempt import Preemption
 from marblestair.core.requests import Requests
 from marblestair.core.share_moves import ShareMoves
 from marblestair.core.shares import within_guarantee
 from marblestair.core.summary import summarise
 from marblestair.core.takeover import rebuild
+from marblestair.core.urgency import Urgency
 from marblestair.core.view import View
 from marblestair.settings import Settings, Team
 
@@ -82,6 +84,8 @@
         self.faults = Faults(settings.cluster.workers)
         self.boots = BootTimes()
         self.authority = Authority(self)
+        self.pipelines = Pipelines(self)
+        self.urgency = Urgency(self)
         self.answers = Answers(self)
         self.cancels = Cancels(self)
         self.jobs = Jobs(self)
@@ -120,6 +124,7 @@
         self.spawn(self.authority.boot())
         self.runner.keep(self.fleet.learn_types)
         self.runner.keep(self.fleet.keep_list)
+        self.runner.keep(self.pipelines.keep_reading)
 
     def set_time(self, now: float, wall: float) -> None:
         """Every input comes with the time."""
@@ -236,15 +241,29 @@
         if jobs_changed:
             ids, v.changed_jobs = v.changed_jobs, set()
             for job in sorted(ids):
-                self.cancels.changed(job)
-                for p in self.parts.values():
-                    if p.ready:
-                        self.sync_slice(p, job)
-                self.jobs.changed(job)
+                self._sync_job(job)
+            self._sync_urgency()
         if jobs_changed or self.faults.changed:
             self.faults.changed = False
             self.guaranteed = within_guarantee(v.jobs, self.teams, self.faults.is_suspected)
 
+    def _sync_job(self, job: str) -> None:
+        self.cancels.changed(job)
+        if job not in self.view.jobs:
+            self.urgency.job_ended(job)
+        for p in self.parts.values():
+            if p.ready:
+                self.sync_slice(p, job)
+        self.jobs.changed(job)
+        self.pipelines.job_changed(job)
+
+    def _sync_urgency(self) -> None:
+        """Schedule by what jobs inherit from those that need them."""
+        for job in self.urgency.take_changed():
+            for p in self.parts.values():
+                if job in p.slices:
+                    self.sync_slice(p, job)
+
     def _sync_parts(self) -> None:
         s = self.view.split
         if s is None:
@@ -290,6 +309,7 @@
     def sync_slice(self, p: Part, job: str) -> None:
         """Bring a part's slice of a job in line with the view."""
         s = p.slices.get(job)
+        was_waiting = s is None or s.is_waiting
         record = self.view.jobs.get(job)
         if record is None and s is not None:
             for page, version in s.pages.items():
@@ -298,7 +318,11 @@
         if job in p.slices and self.cancels.known(job):
             # Known ahead of the view: a slice that comes by an older record is over too.
             p.cancel(job, self.now)
-        if s is None and job in p.slices:
+        held = p.slices.get(job)
+        if held is None or record is None:
+            return
+        held.spec = self.urgency.scheduling_spec(record)
+        if was_waiting and not held.is_waiting:
             self.dispatch.fresh.add(p.number)
 
     def set_types(self, types: list[MachineType]) -> None:
@@ -426,6 +450,8 @@
             "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
             "live_jobs": len(self.view.jobs),
             "managed_jobs": len(self.jobs.managed),
+            "waiting_jobs": self.pipelines.waiting,
+            "waiting": self.pipelines.status(),
             "migrations": self.migrations.done,
             "parts": parts,
         }
@@ -450,6 +476,10 @@
                 self.jobs.told(args)
             elif tag == "confirmed":
                 self.cancels.confirm(str(args[0]), int(args[1]))
+            elif tag == "ended":
+                self.pipelines.told_ended(str(args[0]), str(args[1]))
+            elif tag == "released":
+                self.jobs.told_released(str(args[0]), args[1], int(args[2]))
         except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag} from {node}: {e}")
 
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -126,6 +126,8 @@
                 f.get(s.spec.cls, 1.0),
                 suspected(s.spec.id),
                 self.controller.teams[s.spec.team].is_guest,
+                s.ready_at,
+                self.controller.pipelines.is_awaited(s.spec.id),
             )
         )
         return waiting
@@ -162,7 +164,7 @@
     ) -> list[Slice]:
         """Help what has waited for long; the order in which the rest is gone through."""
         wall = self.controller.wall
-        old = [s for s in order if wall - s.spec.at > BOUND_S]
+        old = [s for s in order if wall - s.ready_at > BOUND_S]
         if not old:
             return order
         self._help(part, old, usable, free, queue)
@@ -349,7 +351,7 @@
             controller.log(
                 "info",
                 f"part {part.number} starts {s.spec.id}: gang of {s.spec.cls},"
-                f" {controller.wall - s.spec.at:.1f} s after it was accepted",
+                f" {controller.wall - s.ready_at:.1f} s after it could start",
             )
         return n
 
@@ -372,17 +374,17 @@
         #: teams that are owed a task of what is oldest
         owed: set[str] = set()
         for s in part.slices.values():
-            if s.placed and controller.wall - s.spec.at > BOUND_S and s.spec.kind != GANG:
+            if s.placed and controller.wall - s.ready_at > BOUND_S and s.spec.kind != GANG:
                 held[s.spec.team] = held.get(s.spec.team, 0) + len(s.placed) * s.need[0]
         begun = {s.spec.id: bool(s.placed or s.done_count) for s in old}
-        for s in sorted(old, key=lambda s: (begun[s.spec.id], s.spec.at, s.spec.id)):
+        for s in sorted(old, key=lambda s: (begun[s.spec.id], s.ready_at, s.spec.id)):
             if (
                 s.spec.kind == GANG
                 or self._held_back(s)
                 or controller.faults.is_suspected(s.spec.id)
             ):
                 continue
-            if begun[s.spec.id] and controller.wall - s.spec.at < OLD_S:
+            if begun[s.spec.id] and controller.wall - s.ready_at < OLD_S:
                 continue
             team, need = s.spec.team, s.need[0]
             if team not in left:
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -340,7 +340,7 @@
     def _plan(self) -> Plan:
         controller = self.controller
         told = plan_inputs.ToldState(controller)
-        live = sorted(controller.view.jobs.values(), key=lambda r: (r.spec.at, r.spec.id))
+        live = sorted(controller.view.jobs.values(), key=lambda r: (r.ready_at, r.spec.id))
         loads = plan_inputs.loads(controller, told, live, self.tuning.patience)
         machines = plan_inputs.machines(controller, told)
         self._note_classes(live)
@@ -421,7 +421,7 @@
         )
         for record in live:
             spec = record.spec
-            if spec.id in self._noted:
+            if record.is_waiting or spec.id in self._noted:
                 continue
             self._noted[spec.id] = None
             while len(self._noted) > 2000:
@@ -432,7 +432,7 @@
                 hurry = wanted is not None and bool(boots) and wanted < 2 * min(boots)
                 hurry = hurry or (bool(boots) and promised < min(boots))
                 at = self._arrived.setdefault(spec.cls, deque(maxlen=RATE_JOBS))
-                at.append(spec.at)
+                at.append(record.ready_at)
                 span = controller.wall - at[0] if len(at) == RATE_JOBS else RATE_S
                 per_s = sum(controller.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
                 self.classes[spec.cls] = Coming(spec, hurry, per_s)
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -13,10 +13,10 @@
 
 from marblestair.core import keys
 from marblestair.core.answers import JobState
-from marblestair.core.calls import ACCEPT, FINAL, Commit, Put, Sleep, StateResult
+from marblestair.core.calls import ACCEPT, FINAL, PROGRESS, Commit, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
 from marblestair.core.managed import ManagedJob, PartReport
-from marblestair.core.model import JobRecord
+from marblestair.core.model import CANCEL, RELEASE, JobRecord
 from marblestair.core.part import Part
 from marblestair.core.slices import Slice
 from marblestair.core.split import SplitRecord
@@ -45,10 +45,18 @@
     FINISH = enum.auto()
     #: commit the entry of a cancel
     CANCEL = enum.auto()
+    #: commit the entry that lets the tasks of a job start, since all that it awaits is done
+    RELEASE = enum.auto()
+    #: record the end of a waiting job of which an ancestor is cancelled
+    ABORT = enum.auto()
 
 
 #: the final state that a step records
-FINAL_STATE = {ManagerStep.FINISH: JobState.DONE, ManagerStep.BURY: JobState.CANCELLED}
+FINAL_STATE = {
+    ManagerStep.FINISH: JobState.DONE,
+    ManagerStep.BURY: JobState.CANCELLED,
+    ManagerStep.ABORT: JobState.CANCELLED,
+}
 
 
 class Jobs:
@@ -59,6 +67,8 @@
         self.managed: dict[str, ManagedJob] = {}
         #: part and job -> when the manager was last told of the slice, and what
         self._sent: dict[tuple[int, str], tuple[float, PartReport]] = {}
+        #: descendants of cancelled jobs whose ends are being recorded
+        self._aborting = 0
 
     # --- which jobs are managed here ---------------------------------------------------------
 
@@ -156,12 +166,18 @@
         acting = controller.acting()
         controller.completion_records.tick(acting)
         self._tell_managers(acting)
-        for managed in list(self.managed.values()):
-            if managed.editing or not controller.acts(managed.part):
-                continue
-            record = controller.view.jobs.get(managed.job)
-            if record is not None and self._next(managed, record) is not None:
-                controller.spawn(self._carry_on(managed))
+        for job in list(self.managed):
+            self.advance(job)
+
+    def advance(self, job: str) -> None:
+        """Begin to do for a job what there is to do, if it is managed here."""
+        controller = self._controller
+        managed = self.managed.get(job)
+        if managed is None or managed.editing or not controller.acts(managed.part):
+            return
+        record = controller.view.jobs.get(job)
+        if record is not None and self._next(managed, record) is not None:
+            controller.spawn(self._carry_on(managed))
 
     def _is_complete(self, managed: ManagedJob, record: JobRecord, split: SplitRecord) -> bool:
         """Whether every slice of the record is reported done by its part's present owner."""
@@ -203,10 +219,23 @@
             if not self._controller.cancels.confirmed(managed.job):
                 return ManagerStep.APPLY
             return ManagerStep.BURY if self._is_empty(managed, record, split) else None
+        if record.is_waiting:
+            return self._next_waiting(managed)
         if self._is_complete(managed, record, split):
             return ManagerStep.FINISH
         return ManagerStep.CANCEL if managed.want_cancel else None
 
+    def _next_waiting(self, managed: ManagedJob) -> ManagerStep | None:
+        """What is to be done for a job that awaits others."""
+        pipelines = self._controller.pipelines
+        if pipelines.has_cancelled_ancestor(managed.job):
+            # Nobody waits for these ends: only so many at once, behind all else that is written.
+            is_full = self._aborting >= self._controller.batch
+            return None if is_full and not managed.editing else ManagerStep.ABORT
+        if managed.want_cancel:
+            return ManagerStep.CANCEL
+        return ManagerStep.RELEASE if pipelines.is_ready(managed.job) else None
+
     def _carry_on(self, managed: ManagedJob) -> Flow:
         """Do for a job what there is to do, one step after the other (Algorithm 3)."""
         controller = self._controller
@@ -223,12 +252,22 @@
                 elif step is ManagerStep.APPLY:
                     if not (yield from controller.cancels.ask(managed.job)):
                         yield Sleep(0.3)
+                elif step is ManagerStep.ABORT:
+                    yield from self._abort(managed, record)
                 else:
                     yield from self._change(managed, record, step)
         finally:
             managed.locks.release_exclusive(holder)
             managed.editing = False
 
+    def _abort(self, managed: ManagedJob, record: JobRecord) -> Step:
+        """Record the end of a job that waits for a cancelled one."""
+        self._aborting += 1
+        try:
+            yield from self._change(managed, record, ManagerStep.ABORT)
+        finally:
+            self._aborting -= 1
+
     def _change(self, managed: ManagedJob, record: JobRecord, step: ManagerStep) -> Step:
         """Send the change of the record that a step asks for, and take in what became of it."""
         controller = self._controller
@@ -236,9 +275,12 @@
         result: StateResult = yield from managed.change(commit)
         if result.status == 200:
             if step in FINAL_STATE:
+                controller.pipelines.tell_ended(managed.job, FINAL_STATE[step])
                 controller.answers.final(managed.job, FINAL_STATE[step])
             controller.view.committed(commit, result.rev)
             controller.sync()
+            if step is ManagerStep.RELEASE:
+                self._tell_released(managed.job)
         elif result.status == 409:
             # The record moved on: by an earlier try of ours, or the part has a new owner.
             # Whatever was in doubt is settled by reading it.
@@ -255,11 +297,33 @@
         if step is ManagerStep.TOUCH:
             return Commit(guards, [Put(key, record)], [], ACCEPT)
         if step is ManagerStep.CANCEL:
-            entry = ["cancel", len(record.changes) + 1]
-            cancelled = msgspec.structs.replace(record, changes=[*record.changes, entry])
-            return Commit(guards, [Put(key, cancelled)], [], ACCEPT)
+            return Commit(guards, [Put(key, record.with_entry(CANCEL))], [], ACCEPT)
+        if step is ManagerStep.RELEASE:
+            released = record.with_entry(RELEASE, round(controller.wall, 3))
+            return Commit(guards, [Put(key, released)], [], FINAL)
         final_key = keys.FINALS + managed.job
-        return Commit([*guards, (final_key, 0)], [Put(final_key, FINAL_STATE[step])], [key], FINAL)
+        lane = PROGRESS if step is ManagerStep.ABORT else FINAL
+        return Commit([*guards, (final_key, 0)], [Put(final_key, FINAL_STATE[step])], [key], lane)
+
+    # --- released jobs -------------------------------------------------------------------------
+
+    def _tell_released(self, job: str) -> None:
+        """Tell the owners of a released job's slices of its record, ahead of their watches."""
+        controller = self._controller
+        record = controller.view.jobs.get(job)
+        if record is None:
+            return
+        controller.log("info", f"released {job}: all that it awaits is done")
+        version = controller.view.version(keys.JOBS + job)
+        owners = {controller.owner(int(part)) for part in record.slices} - {controller.node, None}
+        for node in sorted(owner for owner in owners if owner is not None):
+            controller.tell(node, "released", [job, msgspec.to_builtins(record), version])
+
+    def told_released(self, job: str, record: Any, version: int) -> None:
+        """The manager of a job has committed its release: take its record in."""
+        msgspec.convert(record, JobRecord)
+        self._controller.view.take_in(keys.JOBS + job, record, version)
+        self._controller.sync()
 
     # --- asked by others -----------------------------------------------------------------------
 
@@ -273,7 +337,7 @@
 
     def entries(self, job: str, changes: list[Any], version: int) -> bool:
         """Later change entries of a job, sent by the source of a migration."""
-        if any(entry[0] == "cancel" for entry in changes):
+        if any(entry[0] == CANCEL for entry in changes):
             self._controller.cancels.learn(job, version)
         return True
 
--- a/marblestair/core/lookups.py
+++ b/marblestair/core/lookups.py
@@ -44,11 +44,21 @@
 
     def read(self, job: str) -> Step:
         """The state of a job by a fresh read, or None at once when too many are under way."""
+        return (yield from self._bounded(self._answers.fresh(job, LOOKUP)))
+
+    def find_final(self, job: str) -> Step:
+        """The final state of a job that the view lacks, else what its record says.
+
+        None at once when too many reads are under way.
+        """
+        return (yield from self._bounded(self._answers.find_final(job, LOOKUP)))
+
+    def _bounded(self, read: Step) -> Step:
         if self._reads >= self.most_reads:
             return None
         self._reads += 1
         try:
-            return (yield from self._answers.fresh(job, LOOKUP))
+            return (yield from read)
         finally:
             self._reads -= 1
 
--- a/marblestair/core/machine_moves.py
+++ b/marblestair/core/machine_moves.py
@@ -48,14 +48,14 @@
         empty = [m for m in part.machines.values() if not m.placed and m.usable(controller.now)]
         if not empty:
             return
-        own = [s.spec for s in controller.dispatch.ordered(part) if self.lacks_room(part, s)]
-        first = min(((x.at, x.id) for x in own), default=(float("inf"), ""))
+        own = [s for s in controller.dispatch.ordered(part) if self.lacks_room(part, s)]
+        first = min(((s.ready_at, s.spec.id) for s in own), default=(float("inf"), ""))
         for i, (t, g) in sorted(controller.summaries.items()):
             if i == part.number or controller.now - t > 2.0 or g.term != split.parts[i].term:
                 continue
             for job in g.needs:
                 record = controller.view.jobs.get(job)
-                if record is None or record.cancelled or (record.spec.at, record.spec.id) > first:
+                if record is None or record.cancelled or (record.ready_at, job) > first:
                     continue
                 move = self._idle_for(empty, record.spec, g)
                 if move:
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -193,6 +193,11 @@
         if s is None:
             s = self.slices[job] = Slice(record.spec)
             s.waiting_since = now
+        s.ready_at = record.ready_at
+        if record.is_waiting:
+            s.wait(ranges)
+        elif s.is_waiting:
+            s.release(now)
         if ranges != s.ranges:
             had_tasks = s.size > 0
             s.follow(ranges)
@@ -534,7 +539,8 @@
             if p.state != "planned":
                 continue
             s = self.slices.get(p.job)
-            if m.deaf or s is None or s.cancelled or p.grace is not None or m.draining:
+            may_start = s is not None and not s.is_waiting and not s.cancelled
+            if not may_start or m.deaf or p.grace is not None or m.draining:
                 self._gone(m, p, now)
             elif len(orders) < MAX_ORDERS:
                 orders.append(Order("start", p.job, p.index, p.attempt))
--- /dev/null
+++ b/marblestair/core/pipelines.py
@@ -0,0 +1,249 @@
+"""Jobs that await others: which of them may start, and which never can.
+
+A job that awaits others (their *child*; they are its *parents*) is released by an entry in its
+record's change list. Its manager commits that entry once every parent has a committed final state
+``done``. Final states never change, so this proof does not age, and every owner of a slice goes by
+the record alone, also after a takeover.
+
+A job with a cancelled ancestor never had a task, since some parent on the way never became done.
+So nothing of it has to be stopped: its manager records its end, and until then nobody is told that
+it is queued (`core/answers.py`). The cancel of the ancestor is confirmed only after the owners of
+the manager parts of all its live descendants have its entry (`core/cancels.py`).
+
+The index is kept per changed record, at every node alike, and walked without recursion: chains may
+be long, and both parents and children may be many.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from marblestair.core import keys
+from marblestair.core.answers import FINAL_STATES, JobState
+from marblestair.core.calls import FINAL, Sleep
+from marblestair.core.flow import Flow, Step
+from marblestair.core.model import JobRecord
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: pause between two looks for parents whose end has to be read
+READ_PAUSE_S = 0.3
+#: parents read in one turn, so that releases never use up the rate of requests
+MOST_READS = 8
+#: parents of one job read for a user who waits
+MOST_READS_FOR_USER = 4
+#: waiting jobs that an operator is shown, and awaited jobs of each
+SHOWN_JOBS, SHOWN_PARENTS = 50, 20
+
+
+class Pipelines:
+    """The waiting jobs that one node knows of, and what they wait for."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        #: waiting job -> its parents that are not known to be done
+        self._unfinished: dict[str, set[str]] = {}
+        #: job -> the waiting jobs that name it
+        self._children: dict[str, set[str]] = {}
+        #: waiting jobs with a cancelled ancestor
+        self._cancelled: set[str] = set()
+        #: parents whose records are gone and whose final states are not known here
+        self._unread: dict[str, None] = {}
+
+    # --- what is known ---------------------------------------------------------------------
+
+    def is_ready(self, job: str) -> bool:
+        """Whether a waiting job's parents are all done."""
+        unfinished = self._unfinished.get(job)
+        return unfinished is not None and not unfinished
+
+    def has_cancelled_ancestor(self, job: str) -> bool:
+        """Whether a waiting job can never start, because a job before it is cancelled."""
+        return job in self._cancelled
+
+    def is_awaited(self, job: str) -> bool:
+        """Whether a waiting job names this one."""
+        return job in self._children
+
+    def children(self, job: str) -> Iterable[str]:
+        """The waiting jobs that name a job."""
+        return self._children.get(job, ())
+
+    def descendants(self, job: str) -> Iterator[str]:
+        """The waiting jobs that need a job, directly or through others, each once."""
+        seen = {job}
+        stack = [job]
+        while stack:
+            for child in sorted(self._children.get(stack.pop(), ())):
+                if child not in seen:
+                    seen.add(child)
+                    stack.append(child)
+                    yield child
+
+    def status(self) -> list[dict[str, object]]:
+        """What waiting jobs wait for, for operators; a bounded number of them."""
+        shown = []
+        for job in sorted(self._unfinished)[:SHOWN_JOBS]:
+            unfinished = sorted(self._unfinished[job])
+            shown.append(
+                {
+                    "job": job,
+                    "awaits": unfinished[:SHOWN_PARENTS],
+                    "awaits_in_all": len(unfinished),
+                    "ancestor_cancelled": job in self._cancelled,
+                }
+            )
+        return shown
+
+    @property
+    def waiting(self) -> int:
+        """How many live jobs wait for others."""
+        return len(self._unfinished)
+
+    # --- following the view ------------------------------------------------------------------
+
+    def job_changed(self, job: str) -> None:
+        """A job's record changed in the view."""
+        record = self._controller.view.jobs.get(job)
+        if record is not None and record.is_waiting:
+            if job not in self._unfinished:
+                self._add(job, record)
+        elif job in self._unfinished:
+            self._remove(job)
+        if job not in self._children:
+            return
+        if record is not None:
+            # It may have come into the view after the jobs that need it.
+            self._controller.urgency.child_changed([job])
+        elif self._final(job) is None:
+            self._unread[job] = None
+
+    def _final(self, job: str) -> JobState | None:
+        return self._controller.answers.finals.get(job)
+
+    def _add(self, job: str, record: JobRecord) -> None:
+        unfinished = self._unfinished[job] = set()
+        is_cancelled = False
+        for parent in record.spec.awaits:
+            final = self._final(parent)
+            if final is JobState.DONE:
+                continue
+            unfinished.add(parent)
+            self._children.setdefault(parent, set()).add(job)
+            is_cancelled = is_cancelled or final is JobState.CANCELLED or self.is_cancelled(parent)
+            if final is None and parent not in self._controller.view.jobs:
+                self._unread[parent] = None
+        if is_cancelled:
+            self._cancel_with_descendants(job)
+        self._controller.urgency.child_changed(unfinished)
+
+    def is_cancelled(self, job: str) -> bool:
+        """Whether a live job is cancelled, or is going to be with an ancestor."""
+        return self._controller.cancels.known(job) or job in self._cancelled
+
+    def _remove(self, job: str) -> None:
+        """A job waits no more: it is released or over."""
+        unfinished = self._unfinished.pop(job)
+        for parent in unfinished:
+            self._forget_child(parent, job)
+        self._cancelled.discard(job)
+        self._controller.urgency.child_changed(unfinished)
+
+    def _forget_child(self, parent: str, job: str) -> None:
+        children = self._children.get(parent)
+        if children is None:
+            return
+        children.discard(job)
+        if not children:
+            del self._children[parent]
+            self._unread.pop(parent, None)
+
+    # --- ends of parents ---------------------------------------------------------------------
+
+    def ended(self, parent: str, state: JobState) -> None:
+        """The final state of a job is known to be committed."""
+        self._unread.pop(parent, None)
+        if parent not in self._children:
+            return
+        if state is JobState.CANCELLED:
+            self.cancelled(parent)
+            return
+        for job in sorted(self._children.pop(parent)):
+            self._unfinished[job].discard(parent)
+            if not self._unfinished[job]:
+                self._controller.jobs.advance(job)
+
+    def cancelled(self, parent: str) -> None:
+        """The cancel of a job is known to be committed."""
+        for job in sorted(self._children.get(parent, ())):
+            self._cancel_with_descendants(job)
+
+    def _cancel_with_descendants(self, job: str) -> None:
+        for waiting in (job, *self.descendants(job)):
+            if waiting not in self._cancelled:
+                self._cancelled.add(waiting)
+                self._controller.jobs.advance(waiting)
+
+    def tell_ended(self, job: str, state: JobState) -> None:
+        """Tell the other nodes of an end that this node committed, if jobs wait for it.
+
+        They would find that its record is gone, and read its final state.
+        """
+        if job in self._children:
+            for peer in self._controller.settings.others:
+                self._controller.tell(peer.node, "ended", [job, state])
+
+    def told_ended(self, job: str, state: str) -> None:
+        """Another node committed the end of a job."""
+        if state not in FINAL_STATES:
+            raise ValueError(f"not a final state: {state}")
+        self._controller.answers.final(job, JobState(state))
+
+    def keep_reading(self) -> Flow:
+        """Read the ends of parents that nobody told of."""
+        controller = self._controller
+        while True:
+            yield Sleep(READ_PAUSE_S * (0.8 + 0.4 * controller.rng.random()))
+            for parent in self._parents_to_read():
+                yield from controller.answers.find_final(parent, FINAL)
+
+    def _parents_to_read(self) -> list[str]:
+        """Parents whose end decides about a job that is managed here."""
+        jobs = self._controller.jobs
+        found = []
+        for parent in self._unread:
+            if any(job in jobs.managed for job in self.children(parent)):
+                found.append(parent)
+                if len(found) == MOST_READS:
+                    break
+        return found
+
+    def may_tell_waiting(self, record: JobRecord, lane: int) -> Step:
+        """Whether users may be told that a job still waits, whose record was just read.
+
+        The record alone does not show the cancel of an ancestor. This node's view does, unless
+        it is too old, or a parent is gone from it.
+        """
+        controller = self._controller
+        job = record.spec.id
+        lease_s = controller.settings.cluster.workers.lease_s
+        if controller.now - controller.view.fresh_at > lease_s:
+            return False
+        gone = [p for p in self._unfinished.get(job, ()) if p not in controller.view.jobs]
+        if len(gone) > MOST_READS_FOR_USER:
+            return False
+        for parent in sorted(gone):
+            if (yield from controller.answers.find_final(parent, lane)) is None:
+                return False
+        return not self.has_cancelled_ancestor(job)
+
+    def view_reaches(self, job: str) -> bool:
+        """Whether the view holds all that was committed before a job's record.
+
+        Without that, an ancestor may have been cancelled before the job was accepted, and this
+        node may not know it for as long as it acts on promises.
+        """
+        view = self._controller.view
+        return view.rev >= view.version(keys.JOBS + job)
--- a/marblestair/core/plan_inputs.py
+++ b/marblestair/core/plan_inputs.py
@@ -89,7 +89,7 @@
     room = TeamRoom(controller, told, live)
     found = []
     for record in live:
-        spec = record.spec
+        spec = controller.urgency.scheduling_spec(record)
         waiting, running = told.tasks.get(spec.id, (0, 0))
         if record.cancelled or not waiting + running:
             continue
@@ -98,8 +98,10 @@
         if spec.kind == GANG:
             waiting = 0 if allowed < spec.tasks and not running else allowed
         run_s = max(1.0, spec.estimate_s * controller.factor.get(spec.cls, 1.0))
-        deadline_s = spec.deadline_s if spec.deadline_s is not None else patience * run_s
-        due = deadline_s - (controller.wall - spec.at)
+        due_at = record.ready_at + patience * run_s
+        if spec.deadline_s is not None:
+            due_at = spec.at + spec.deadline_s
+        due = due_at - controller.wall
         part = told.part.get(spec.id, -1)
         found.append(Load(spec, waiting, running, due, run_s, allowed, part))
     return found
--- a/marblestair/core/shares.py
+++ b/marblestair/core/shares.py
@@ -42,14 +42,14 @@
     """Return the jobs that fit into their team's guarantee.
 
     A job does if it fits together with the team's earlier unfinished jobs. Jobs that probably
-    fail on every machine take nothing from the guarantee.
+    fail on every machine, and those that await others, take nothing from the guarantee.
     """
     used: dict[str, list[int]] = {}
     out: set[str] = set()
-    for record in sorted(jobs.values(), key=lambda r: (r.spec.at, r.spec.id)):
+    for record in sorted(jobs.values(), key=lambda r: (r.ready_at, r.spec.id)):
         spec = record.spec
         team = teams.get(spec.team)
-        if team is None or record.cancelled or is_suspected(spec.id):
+        if team is None or record.cancelled or record.is_waiting or is_suspected(spec.id):
             continue
         u = used.setdefault(spec.team, [0, 0])
         u[0] += spec.tasks * up(spec.cpus)
@@ -67,20 +67,24 @@
     factor: float,
     suspected: bool = False,
     is_guest: bool = False,
+    ready_at: float | None = None,
+    is_awaited: bool = False,
 ) -> tuple[int, int, int, float, str]:
     """Return the sort key by which jobs are served, the smallest first.
 
     Guarantees and high priority come first, then priority, then slack to the deadline or age; a
     factor corrects the estimate. Guests come after all others, and what probably fails anyway
-    comes last.
+    comes last. Age counts from ``ready_at``, which is the acceptance where it is not given. What
+    others await is never put off: its deadline is only when they should begin.
     """
     late = 8 * int(suspected) + 4 * int(is_guest)
     if spec.deadline_s is not None:
         slack = spec.at + spec.deadline_s - wall - spec.estimate_s * factor
         # What cannot be done by a deadline and half any more is of least use.
-        late += int(hopeless) + 2 * int(slack + 0.5 * spec.deadline_s < 0)
+        if not is_awaited:
+            late += int(hopeless) + 2 * int(slack + 0.5 * spec.deadline_s < 0)
     else:
-        slack = spec.at - wall + 120.0
+        slack = (spec.at if ready_at is None else ready_at) - wall + 120.0
     first = guaranteed or PRIORITIES[spec.priority] >= PRIORITIES["high"]
     return (late, 0 if first else 1, -PRIORITIES[spec.priority], slack, spec.id)
 
--- a/marblestair/core/slices.py
+++ b/marblestair/core/slices.py
@@ -34,6 +34,10 @@
         self.version = 0
         self.stopping_gang = False
         self.waiting_since = 0.0
+        #: the job awaits others that are not done: nothing is pending, so nothing may start
+        self.is_waiting = False
+        #: wall-clock time since which tasks may start
+        self.ready_at = spec.at
         #: task numbers dropped here for a migration whose commit is not known yet
         self.leaving: list[list[int]] = []
         #: the migration that dropped them: an earlier one must not restore them
@@ -53,6 +57,19 @@
         """Whether a task number belongs to this slice."""
         return any(a <= i < b for a, b in self.ranges)
 
+    def wait(self, ranges: list[list[int]]) -> None:
+        """Hold task numbers of a job that awaits others: none of them is pending."""
+        self.is_waiting = True
+        self.ranges = [list(r) for r in ranges]
+        self.size = sum(end - start for start, end in self.ranges)
+
+    def release(self, now: float) -> None:
+        """All that the job awaited is done: what the record gives to the slice will be pending."""
+        self.is_waiting = False
+        self.ranges = []
+        self.size = 0
+        self.waiting_since = now
+
     def follow(self, ranges: list[list[int]]) -> None:
         """Take in the task numbers that the job's record gives to this slice now."""
         old, held = Ranges(self.ranges), Ranges(ranges)
--- /dev/null
+++ b/marblestair/core/urgency.py
@@ -0,0 +1,106 @@
+"""Priority and deadline of a pipeline's last job, handed back to the jobs before it.
+
+Users set the deadline, and the priority that they care about, on the last job only. A job takes
+the highest priority of the jobs that need it, and has to be done when the first of them has to
+start, so that each of them can still be done in time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from marblestair.core.model import PRIORITIES, JobRecord, JobSpec
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: report intervals between the end of a job and the start of one that awaits it
+START_REPORTS = 2.0
+
+
+class Need(msgspec.Struct, frozen=True):
+    """What the jobs that need a job ask of it."""
+
+    priority: str
+    #: wall-clock time by which it has to be done
+    done_by: float | None
+
+
+class Urgency:
+    """The needs that jobs inherit, kept as the jobs that wait come and go."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        self._inherited: dict[str, Need] = {}
+        self._changed: set[str] = set()
+
+    def scheduling_spec(self, record: JobRecord) -> JobSpec:
+        """The job with the priority and the deadline by which it is scheduled."""
+        spec = record.spec
+        need = self._inherited.get(spec.id)
+        if need is None:
+            return spec
+        deadline_s = spec.deadline_s
+        if need.done_by is not None:
+            inherited_s = need.done_by - spec.at
+            deadline_s = inherited_s if deadline_s is None else min(deadline_s, inherited_s)
+        return msgspec.structs.replace(
+            spec, priority=_higher(spec.priority, need.priority), deadline_s=deadline_s
+        )
+
+    def take_changed(self) -> set[str]:
+        """The jobs whose inherited needs changed since they were last taken."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def job_ended(self, job: str) -> None:
+        """A job's record is gone."""
+        self._inherited.pop(job, None)
+
+    def child_changed(self, parents: Iterable[str]) -> None:
+        """A waiting job came or went: work its parents' needs out anew, and so on upwards."""
+        stack = sorted(parents)
+        while stack:
+            job = stack.pop()
+            record = self._controller.view.jobs.get(job)
+            if record is None:
+                continue
+            need = self._need_of_children(job)
+            if need == self._inherited.get(job):
+                continue
+            if need is None:
+                del self._inherited[job]
+            else:
+                self._inherited[job] = need
+            self._changed.add(job)
+            if record.is_waiting:
+                stack += record.spec.awaits
+
+    def _need_of_children(self, job: str) -> Need | None:
+        needs = []
+        for child in self._controller.pipelines.children(job):
+            record = self._controller.view.jobs.get(child)
+            if record is not None:
+                needs.append(self._need_of(record))
+        if not needs:
+            return None
+        priority = max((need.priority for need in needs), key=PRIORITIES.__getitem__)
+        times = [need.done_by for need in needs if need.done_by is not None]
+        return Need(priority, min(times, default=None))
+
+    def _need_of(self, child: JobRecord) -> Need:
+        """What one child asks of its parents: to be done when it has to start."""
+        spec = self.scheduling_spec(child)
+        if spec.deadline_s is None:
+            return Need(spec.priority, None)
+        controller = self._controller
+        run_s = spec.estimate_s * controller.factor.get(spec.cls, 1.0)
+        start_s = START_REPORTS * controller.settings.cluster.workers.report_s
+        return Need(spec.priority, round(spec.at + spec.deadline_s - run_s - start_s, 1))
+
+
+def _higher(one: str, other: str) -> str:
+    return max(one, other, key=PRIORITIES.__getitem__)
--- a/marblestair/settings.py
+++ b/marblestair/settings.py
@@ -84,13 +84,33 @@
     cancel_s: float
 
 
-class StateLimits(msgspec.Struct, frozen=True):
+class NextStateLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have later, without notice; None: as they are now."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
+class StateLimits(msgspec.Struct, frozen=True, omit_defaults=True):
     """Limits of the state service, shared by all controllers."""
 
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextStateLimits | None = None
+
+    def lasting(self) -> StateLimits:
+        """The limits that hold now and later: of each pair the smaller one."""
+        later = self.next or NextStateLimits()
+        return StateLimits(
+            rps=min(self.rps, later.rps or self.rps),
+            write_rps=min(self.write_rps, later.write_rps or self.write_rps),
+            value_kb=min(self.value_kb, later.value_kb or self.value_kb),
+            txn_ops=min(self.txn_ops, later.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
@@ -200,12 +220,29 @@
     ):
         if not (math.isfinite(value) and value >= 0):
             raise SettingsError(f"{name}: must be a number of 0 or more")
-    if c.state.txn_ops < MIN_OPS:
-        raise SettingsError(f"cluster.state.txn_ops: must be at least {MIN_OPS}")
+    _check_next_limits(c.state.next or NextStateLimits())
+    for name, operations in _transaction_limits(c.state):
+        if operations < MIN_OPS:
+            raise SettingsError(f"{name}: must be at least {MIN_OPS}")
     if c.workers.lease_s < 2 * c.workers.report_s:
         raise SettingsError("cluster.workers.lease_s: must be at least twice report_s")
 
 
+def _check_next_limits(later: NextStateLimits) -> None:
+    for name in later.__struct_fields__:
+        value = getattr(later, name)
+        if value is not None and not (math.isfinite(value) and value > 0):
+            raise SettingsError(f"cluster.state.next.{name}: must be a number above 0")
+
+
+def _transaction_limits(state: StateLimits) -> list[tuple[str, int]]:
+    """The limits of changes in one transaction, now and later, by the names of their settings."""
+    limits = [("cluster.state.txn_ops", state.txn_ops)]
+    if state.next is not None and state.next.txn_ops is not None:
+        limits.append(("cluster.state.next.txn_ops", state.next.txn_ops))
+    return limits
+
+
 def _check_teams(c: Cluster) -> None:
     seen: set[str] = set()
     for i, t in enumerate(c.teams):
@@ -233,15 +270,21 @@
         for share in p.shares.values():
             share[:] = [1 << 40, 1 << 40]
     size = len(msgspec.msgpack.encode(record))
-    if size > c.state.value_kb * 1024:
+    if size > c.state.lasting().value_kb * 1024:
+        is_later = size <= c.state.value_kb * 1024
+        limit = "cluster.state.next.value_kb" if is_later else "cluster.state.value_kb"
         raise SettingsError(
             f"cluster.teams: with {c.size} parts they take {size} bytes of state, more than"
-            " cluster.state.value_kb allows"
+            f" {limit} allows"
         )
 
 
 def parse(data: dict[str, Any]) -> Settings:
-    """Build checked settings from a parsed TOML table."""
+    """Build checked settings from a parsed TOML table.
+
+    The limits of the state service in them are those that hold now and later: everything is
+    written within both from the start, since the later ones come without notice.
+    """
     try:
         s = msgspec.convert(data, Settings)
     except msgspec.ValidationError as e:
@@ -249,7 +292,8 @@
         what, _, where = text.rpartition(" - at `$")
         raise SettingsError(f"{where.strip('`.') or 'settings'}: {what or text}") from None
     _check(s)
-    return s
+    cluster = msgspec.structs.replace(s.cluster, state=s.cluster.state.lasting())
+    return msgspec.structs.replace(s, cluster=cluster)
 
 
 def load(path: str) -> Settings:
--- a/marblestair/wire.py
+++ b/marblestair/wire.py
@@ -108,6 +108,7 @@
     builds: list[str] | None = None
     room: str | None = None
     due_s: float | None = None
+    awaits: list[str] | None = None
 
 
 _submit = msgspec.msgpack.Decoder(_Submit)
@@ -140,6 +141,9 @@
     names = [s.jobclass, s.owner, s.bundle, s.room or "", *(s.builds or [])]
     if any(len(n) > _MAX_NAME for n in names) or len(names) > 100:
         raise BadRequestError("a name is too long")
+    awaits = list(dict.fromkeys(s.awaits or []))
+    if not all(valid_job_id(ref) for ref in awaits):
+        raise BadRequestError("awaits: not a list of ids of the form job-NUMBER")
     return JobSpec(
         id=s.ref,
         cls=s.jobclass,
@@ -161,6 +165,7 @@
         checkpoint_s=s.bookmark_s,
         save_s=s.bookmark_cost_s,
         deadline_s=s.due_s,
+        awaits=awaits,
     )
 
 
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -236,3 +236,4 @@
             for x in [x for _, x in gang] or [t]:
                 x.state, x.why = "exited", "done"
                 w.results.add((x.job, x.index))
+                w.done_at[x.job] = w.now
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,437 @@
+"""Pipelines: jobs that await others, what starts them, and what a cancel takes with it."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from marblestair.core import keys
+from marblestair.core.calls import Commit
+from marblestair.core.model import JobSpec
+from tests.fakes.deployment import spec
+from tests.fakes.world import World
+from tests.helpers import Recorder, manager, manager_of, owner, running, warm
+
+
+def submit_pipeline(w: World, first: int = 1, **last: Any) -> list[JobSpec]:
+    """Submit four stages, the second of three jobs that share a parent."""
+    split = spec(first, tasks=2, estimate_s=2.0)
+    stage = [
+        spec(first + k, tasks=3, estimate_s=3.0, priority="low", awaits=[split.id])
+        for k in (1, 2, 3)
+    ]
+    bind = spec(
+        first + 4, kind="gang", tasks=2, estimate_s=2.0, awaits=[split.id, *(s.id for s in stage)]
+    )
+    final = spec(first + 5, tasks=2, estimate_s=1.0, awaits=[bind.id], priority="high", **last)
+    jobs = [split, *stage, bind, final]
+    for job in jobs:
+        w.submit(job)
+    return jobs
+
+
+def all_done(w: World, jobs: list[JobSpec], most: float = 90.0) -> bool:
+    return all(w.finish(job.id, most) for job in jobs)
+
+
+def first_start(w: World, job: str) -> float:
+    return min((at for at, started, *_ in w.starts if started == job), default=-1.0)
+
+
+def all_cancelled(w: World, jobs: list[JobSpec], most: float) -> bool:
+    return w.until(lambda: all(w.state_of(job.id) == "cancelled" for job in jobs), most)
+
+
+def test_a_pipeline_of_four_stages_runs_from_submission_to_done() -> None:
+    w = warm()
+    jobs = submit_pipeline(w, deadline_s=60.0)
+    assert w.state_of(jobs[-1].id) == "queued"
+    assert all_done(w, jobs)
+    for job in jobs[1:]:
+        began = first_start(w, job.id)
+        ended = max(w.done_at[parent] for parent in job.awaits)
+        # A release, a watch and a report lie between the two.
+        assert 0.0 <= began - ended < 6.0, (job.id, began - ended)
+    assert w.broken == []
+
+
+def test_a_waiting_job_holds_no_part_of_its_team_s_limit_and_guarantee() -> None:
+    w = warm()
+    parent = w.submit(spec(1, tasks=1, estimate_s=40.0))
+    child = w.submit(spec(2, tasks=24, awaits=[parent]))
+    w.run(2.0)
+    core = running(w, "n0")
+    assert child not in core.guaranteed
+    assert all(s.spec.id != child for p in core.parts.values() for s in core.dispatch.ordered(p))
+    # The whole of the team's limit is left for others.
+    other = w.submit(spec(3, tasks=23, estimate_s=3.0))
+    assert w.finish(other, 60.0)
+    assert first_start(w, child) == -1.0
+    assert w.finish(child, 90.0)
+    assert w.broken == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_cancel_takes_all_descendants_with_it_also_those_submitted_later(seed: int) -> None:
+    w = warm(seed)
+    parent = spec(1, tasks=2, estimate_s=60.0)
+    w.submit(parent)
+    # Through depth and width: a chain of six, and twelve beside it.
+    chain: list[JobSpec] = []
+    for n in range(2, 8):
+        chain.append(spec(n, awaits=[chain[-1].id if chain else parent.id]))
+    wide = [spec(n, awaits=[parent.id, chain[0].id]) for n in range(10, 22)]
+    for job in [*chain, *wide]:
+        w.submit(job)
+    w.until(lambda: first_start(w, parent.id) > 0, 20.0)
+    assert w.cancel(parent.id) == "cancelled"
+    late = [spec(30, awaits=[parent.id]), spec(31, awaits=[chain[-1].id])]
+    for job in late:
+        w.submit(job)
+    assert all_cancelled(w, [*chain, *wide, *late], 0.8 * w.cancel_s)
+    assert all(first_start(w, job.id) == -1.0 for job in [*chain, *wide, *late])
+    # Nothing of them is left but their ends.
+    w.run(3.0)
+    assert not [k for k in w.state.data if k.startswith(keys.JOBS)]
+    assert w.broken == []
+
+
+def test_a_cancel_answered_with_done_changes_nothing_for_those_after_it() -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=1.0)
+    child = spec(2, tasks=1, estimate_s=1.0, awaits=[parent.id])
+    w.submit(parent)
+    w.submit(child)
+    assert w.finish(parent.id, 40.0)
+    assert w.cancel(parent.id) == "done"
+    assert w.finish(child.id, 40.0)
+    assert w.broken == []
+
+
+def test_a_diamond_with_one_side_done_and_the_other_cancelled_ends() -> None:
+    w = warm()
+    top = spec(1, tasks=1, estimate_s=1.0)
+    left = spec(2, tasks=1, estimate_s=1.0, awaits=[top.id])
+    right = spec(3, tasks=1, estimate_s=100.0, awaits=[top.id])
+    bottom = spec(4, tasks=1, estimate_s=1.0, awaits=[left.id, right.id])
+    for job in (top, left, right, bottom):
+        w.submit(job)
+    assert w.finish(left.id, 60.0)
+    assert w.state_of(bottom.id) == "queued"
+    assert w.cancel(right.id) == "cancelled"
+    assert all_cancelled(w, [bottom], w.cancel_s)
+    assert w.broken == []
+
+
+def test_a_chain_whose_middle_is_cancelled_keeps_what_came_before() -> None:
+    w = warm()
+    jobs = [spec(1, tasks=1, estimate_s=15.0)]
+    for n in range(2, 6):
+        jobs.append(spec(n, tasks=1, estimate_s=1.0, awaits=[jobs[-1].id]))
+    for job in jobs:
+        w.submit(job)
+    assert w.cancel(jobs[2].id) == "cancelled"
+    assert all_cancelled(w, jobs[3:], w.cancel_s)
+    assert w.finish(jobs[1].id, 60.0)
+    assert w.broken == []
+
+
+# --- submissions ------------------------------------------------------------------------------
+
+
+def answer(w: World, node: str, job: JobSpec) -> tuple[int, str]:
+    w.specs[job.id] = job
+    out = w.ask(node, "submit", job)
+    assert w.until(lambda: bool(out), 5.0)
+    return out[0].status, out[0].state
+
+
+def test_an_awaited_job_that_was_never_accepted_is_refused_and_so_is_the_job_itself() -> None:
+    w = warm()
+    known = w.submit(spec(1))
+    assert answer(w, "n0", spec(2, awaits=[known, "job-999999"]))[0] == 422
+    assert answer(w, "n1", spec(3, awaits=["job-000003"]))[0] == 422
+    # A repeated submission gets its state, whatever it names.
+    assert answer(w, "n2", spec(1, awaits=["job-999999"]))[0] == 200
+    assert w.broken == []
+
+
+def test_a_parent_accepted_a_moment_ago_by_another_node_is_known() -> None:
+    w = warm()
+    # The other node's watch lags behind: its view lacks the parent.
+    w.watch_lag["n1"] = 3.0
+    parent = spec(1)
+    assert answer(w, "n0", parent)[0] == 201
+    assert parent.id not in running(w, "n1").view.jobs
+    assert answer(w, "n1", spec(2, tasks=1, awaits=[parent.id]))[0] == 201
+    assert w.broken == []
+
+
+@pytest.mark.parametrize("end", ["done", "cancelled"])
+def test_a_parent_that_was_over_long_ago_is_known_by_its_final_state(end: str) -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=1.0 if end == "done" else 60.0)
+    w.submit(parent)
+    if end == "done":
+        assert w.finish(parent.id, 40.0)
+    else:
+        w.cancel(parent.id)
+        w.until(lambda: keys.FINALS + parent.id in w.state.data, 40.0)
+    for name in w.node_names:
+        w.kill(name, 0.5)
+    w.run(15.0)
+    child = spec(2, tasks=1, estimate_s=1.0, awaits=[parent.id])
+    status, state = answer(w, "n1", child)
+    assert (status, state) == (201, "queued" if end == "done" else "cancelled")
+    if end == "done":
+        assert w.finish(child.id, 40.0)
+    assert w.state_of(child.id) == end
+    assert w.broken == []
+
+
+def test_what_cannot_be_decided_now_is_refused_for_now() -> None:
+    w = warm()
+    w.state.outage(True, w.now)
+    w.specs["job-000002"] = spec(2, awaits=["job-000001"])
+    out = w.ask("n0", "submit", w.specs["job-000002"])
+    assert w.until(lambda: bool(out), 5.0)
+    assert out[0].status == 503 and out[0].retry_after >= 1
+
+
+def test_ids_that_nobody_submitted_do_not_use_up_the_rate_of_the_state_service() -> None:
+    w = warm()
+    recorder = Recorder(w, "n0")
+    many = [f"job-{n}" for n in range(900_000, 901_000)]
+    for n in range(40):
+        w.ask("n0", "submit", spec(100 + n, awaits=many))
+    w.run(5.0)
+    # The first unknown id decides; no submission reads a thousand.
+    assert recorder.outside() < 40 * 6
+    assert w.finish(w.submit(spec(1, tasks=1, estimate_s=1.0)), 40.0)
+
+
+def test_many_finished_parents_are_looked_up_over_several_tries() -> None:
+    w = warm()
+    parents = [f"job-{n:06d}" for n in range(1000, 1300)]
+    for parent in parents:
+        w.state.data[keys.FINALS + parent] = ("done", 1, None)
+        w.specs[parent] = spec(int(parent[4:]))
+        w.results |= {(parent, i) for i in range(w.specs[parent].tasks)}
+    w.state_slow = 0.05
+    child = spec(1, tasks=1, estimate_s=1.0, awaits=parents)
+    w.submit(child, "n0")
+    assert w.finish(child.id, 40.0)
+    assert w.broken == []
+
+
+# --- with troubles ----------------------------------------------------------------------------
+
+
+def test_a_child_accepted_by_a_node_whose_view_lags_is_cancelled_too() -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=60.0)
+    w.submit(parent, "n0")
+    w.run(2.0)
+    w.watch_lag["n1"] = 4.0
+    w.run(5.0)
+    assert w.cancel(parent.id) == "cancelled"
+    child = spec(2, awaits=[parent.id])
+    w.submit(child, "n1")
+    w.watch_lag.clear()
+    assert all_cancelled(w, [child], w.cancel_s)
+    assert w.broken == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_state_outage_right_after_the_answer_leaves_no_descendant_called_queued(
+    seed: int,
+) -> None:
+    w = warm(seed)
+    parent = spec(1, tasks=1, estimate_s=60.0)
+    w.submit(parent)
+    chain = [spec(2, awaits=[parent.id])]
+    for n in range(3, 9):
+        chain.append(spec(n, awaits=[chain[-1].id]))
+    for job in chain:
+        w.submit(job)
+    w.run(3.0)
+    w.cancel(parent.id)
+    w.state.outage(True, w.now)
+    told = w.now
+    while w.now < told + 1.6 * w.cancel_s:
+        for job in chain:
+            for name in w.node_names:
+                w.ask(name, "query", job.id)
+        w.run(2.0)
+    w.calm()
+    assert all_cancelled(w, chain, w.cancel_s)
+    assert w.broken == []
+
+
+def test_a_cancel_is_confirmed_only_after_the_managers_of_descendants_have_it() -> None:
+    """A node that is refused by the state service acts on an older view for a while."""
+    w = warm()
+    for n in range(1, 40):
+        # A parent whose manager and slices are elsewhere, and a child managed at n2.
+        parent = spec(10 * n, tasks=1, estimate_s=90.0)
+        child = spec(10 * n + 1, tasks=1, awaits=[parent.id])
+        w.submit(parent, "n0")
+        w.submit(child, "n2")
+        record = w.state.data[keys.JOBS + parent.id][0]
+        parts = {record[1], *map(int, record[2])}
+        if "n2" not in {owner(w, part) for part in parts} and manager(w, child.id) == "n2":
+            break
+    else:
+        raise AssertionError("no such parent")
+    w.run(1.0)
+    w.state.refused_nodes.add("n2")
+    w.isolate("n2", "n0", "n1")
+    w.cancel_asked.add(parent.id)
+    asked = w.ask("n0", "cancel", parent.id)
+    w.run(2.0)
+    # The manager of the child still tells that it is queued; so the cancel is not told yet.
+    out = w.ask("n2", "query", child.id)
+    w.run(0.5)
+    assert out[0].state == "queued"
+    assert not [r for r in asked if r.status == 200]
+    w.calm()
+    assert w.cancel(parent.id) == "cancelled"
+    assert all_cancelled(w, [child], w.cancel_s)
+    assert w.broken == []
+
+
+@pytest.mark.parametrize("back", [0.2, 6.0])
+def test_a_takeover_between_the_parent_s_end_and_the_release(back: float) -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=3.0)
+    child = spec(2, tasks=2, estimate_s=1.0, awaits=[parent.id])
+    w.submit(parent)
+    w.submit(child)
+    w.lost.add("ended")
+    w.until(lambda: keys.FINALS + parent.id in w.state.data, 40.0)
+    w.kill(manager(w, child.id), back)
+    assert w.finish(child.id, 60.0)
+    assert w.broken == []
+
+
+def test_notes_of_ends_and_releases_may_all_be_lost() -> None:
+    w = warm()
+    w.lost |= {"ended", "released"}
+    jobs = submit_pipeline(w)
+    assert all_done(w, jobs)
+    assert w.broken == []
+
+
+def test_a_release_whose_answer_is_lost_or_that_comes_late_is_not_repeated() -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=2.0)
+    child = spec(2, tasks=2, estimate_s=1.0, awaits=[parent.id])
+    w.submit(parent)
+    w.submit(child)
+    late = iter([2.0])
+
+    def delay(_node: str, commit: Commit) -> float | None:
+        is_release = any(p.key == keys.JOBS + child.id for p in commit.puts)
+        return next(late, None) if is_release else None
+
+    w.late = delay
+    assert w.finish(child.id, 60.0)
+    assert w.broken == []
+
+
+def test_all_nodes_at_once_while_jobs_wait() -> None:
+    w = warm()
+    jobs = submit_pipeline(w)
+    for name in w.node_names:
+        w.kill(name, 1.0)
+    assert all_done(w, jobs, 120.0)
+    assert w.broken == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_pipelines_keep_the_rules_under_drawn_troubles(seed: int) -> None:
+    rng = random.Random(seed)
+    w = warm(seed, nodes=rng.choice([3, 5]))
+    w.lose_answers = rng.choice([0.0, 0.1])
+    w.late_commits = rng.choice([0.0, 0.05])
+    w.copies = rng.choice([0.0, 0.1])
+    w.state_slow = rng.choice([0.0, 0.1])
+    jobs: list[JobSpec] = []
+    for n in range(3):
+        jobs += submit_pipeline(w, 1 + 10 * n)
+        if rng.random() < 0.5:
+            w.kill(rng.choice(w.node_names), rng.choice([0.2, 4.0, 12.0]))
+        if rng.random() < 0.3:
+            w.state.outage(True, w.now)
+            w.at(rng.uniform(2.0, 20.0), lambda: w.state.outage(False, w.now))
+        if rng.random() < 0.5:
+            w.at(rng.uniform(0.0, 10.0), lambda j=rng.choice(jobs).id: ask_cancel(w, j))
+        w.run(rng.uniform(0.0, 8.0))
+    w.run(10.0)
+    w.calm()
+    cancelled = {job.id for job in jobs if w._cancel_asked_before(job.id)}
+    for job in jobs:
+        if job.id in cancelled:
+            assert w.until(lambda j=job.id: w.state_of(j) in ("cancelled", "done"), 60.0), job.id
+        else:
+            assert w.finish(job.id, 120.0), job.id
+    assert w.broken == []
+
+
+def ask_cancel(w: World, job: str) -> None:
+    """Ask once for a cancel, as a user who does not wait."""
+    w.cancel_asked.add(job)
+    up = [name for name in w.node_names if w.cores[name] is not None]
+    if up:
+        w.ask(up[0], "cancel", job)
+
+
+# --- what runs first, and what operators see -------------------------------------------------------
+
+
+def test_priority_and_deadline_of_the_last_job_reach_those_before_it() -> None:
+    w = warm()
+    jobs = submit_pipeline(w, deadline_s=100.0)
+    w.run(2.0)
+    urgency = running(w, "n0").urgency
+    view = running(w, "n0").view
+    scheduled = [urgency.scheduling_spec(view.jobs[job.id]) for job in jobs]
+    assert {s.priority for s in scheduled} == {"high"}
+    due = [s.at + (s.deadline_s or 0.0) for s in scheduled]
+    assert due[0] < due[1] < due[4] < due[5]
+    w.cancel(jobs[-1].id)
+    w.run(3.0)
+    assert urgency.scheduling_spec(view.jobs[jobs[0].id]).priority == "normal"
+
+
+def test_operators_see_what_a_waiting_job_waits_for() -> None:
+    w = warm()
+    parent = w.submit(spec(1, tasks=1, estimate_s=60.0))
+    child = w.submit(spec(2, awaits=[parent]))
+    w.run(1.0)
+    shown = running(w, manager_of(w, child)).status()["waiting"]
+    assert shown == [
+        {"job": child, "awaits": [parent], "awaits_in_all": 1, "ancestor_cancelled": False}
+    ]
+
+
+def test_a_change_costs_steps_by_its_own_parents_and_children_only() -> None:
+    """A long chain and a wide stage: no recursion, and no walk over all waiting jobs."""
+    w = warm()
+    core = running(w, "n0")
+    top = spec(1, tasks=1)
+    specs = [top, spec(2, awaits=[top.id])]
+    for n in range(3, 3000):
+        specs.append(spec(n, awaits=[specs[-1].id]))
+    for n, job in enumerate(specs):
+        core.view.take_in(keys.JOBS + job.id, [list_of(job), 0, {"0": [[0, 6]]}, []], 10_000 + n)
+    core.sync()
+    assert sum(1 for _ in core.pipelines.descendants(top.id)) == 2998
+    core.cancels.learn(top.id, 20_000)
+    assert all(core.pipelines.has_cancelled_ancestor(job.id) for job in specs[1:])
+
+
+def list_of(job: JobSpec) -> list[Any]:
+    return [getattr(job, field) for field in job.__struct_fields__]
