--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -388,7 +388,7 @@
         w.ask(up[0], "cancel", job)
 
 
-# --- what runs first, and what operators see -------------------------------------------------------
+# --- what runs first, and what operators see ---------------------------------------------------
 
 
 def test_priority_and_deadline_of_the_last_job_reach_those_before_it() -> None:
