--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -40,6 +40,11 @@
 
 def settings(me: int, n: int = 3, **cluster: Any) -> st.Settings:
     """Settings of one node of a small deployment."""
+    return st.parse(raw_settings(me, n, **cluster))
+
+
+def raw_settings(me: int, n: int = 3, **cluster: Any) -> dict[str, Any]:
+    """The same as the file holds them."""
     names = [f"n{i}" for i in range(n)]
     base: dict[str, Any] = dict(
         size=n,
@@ -56,17 +61,15 @@
         machine_limits=dict(core_share=0.3, mem_mb=100.0, sockets=500.0),
     )
     base.update(cluster)
-    return st.parse(
-        dict(
-            node=names[me],
-            public_addr=f"10.0.0.{me + 1}:8080",
-            cluster_listen=f"10.0.0.{me + 1}:8081",
-            others=[
-                dict(node=x, address=f"10.0.0.{i + 1}:8081") for i, x in enumerate(names) if i != me
-            ],
-            external=dict(cloud="10.2.0.2:1", state="10.2.0.1:1"),
-            cluster=base,
-        )
+    return dict(
+        node=names[me],
+        public_addr=f"10.0.0.{me + 1}:8080",
+        cluster_listen=f"10.0.0.{me + 1}:8081",
+        others=[
+            dict(node=x, address=f"10.0.0.{i + 1}:8081") for i, x in enumerate(names) if i != me
+        ],
+        external=dict(cloud="10.2.0.2:1", state="10.2.0.1:1"),
+        cluster=base,
     )
 
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -29,7 +29,8 @@
 from marblestair.core.controller import Controller
 from marblestair.core.messages import Command
 from marblestair.core.model import GANG, JobSpec, Report
-from tests.fakes.deployment import EPOCH, TYPES, settings
+from tests.fakes.deployment import EPOCH, TYPES, raw_settings, settings
+from tests.fakes.production import ProductionController
 from tests.fakes.rules import Rules
 from tests.fakes.state import FakeState
 from tests.fakes.worker import FakeTask, Worker
@@ -53,20 +54,23 @@
 class World(Rules):
     """Everything around the controllers, and the checks."""
 
-    def __init__(self, seed: int = 1, nodes: int = 3, **cluster: Any) -> None:
+    def __init__(
+        self, seed: int = 1, nodes: int = 3, *, in_production: bool = False, **cluster: Any
+    ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         self.node_names = [f"n{i}" for i in range(nodes)]
+        self.raw_settings = [raw_settings(i, nodes, **cluster) for i in range(nodes)]
         self.settings = [settings(i, nodes, **cluster) for i in range(nodes)]
+        #: nodes that start with the version in production
+        self.old_nodes = set(self.node_names) if in_production else set()
         self.lease_s = self.settings[0].cluster.workers.lease_s
         self.cancel_s = self.settings[0].cluster.workers.cancel_s
         self.state = FakeState()
-        limits = self.settings[0].cluster.state
-        self.state.value_limit = int(limits.value_kb * 1024)
-        self.state.ops_limit = limits.txn_ops
+        self.limit_state(self.raw_settings[0]["cluster"]["state"])
         self.cores: dict[str, Controller | None] = dict.fromkeys(self.node_names)
         self.cut: set[frozenset[str]] = set()
         self.hold: list[Callable[[], None]] = []
@@ -142,18 +146,33 @@
     # --- nodes -----------------------------------------------------------------------------
 
     def start_node(self, name: str) -> None:
+        core = self._new_core(name)
+        self.cores[name] = core
+        core.start()
+        self.flush(name)
+        self._tick(name, core)
+
+    def _new_core(self, name: str) -> Any:
         i = self.node_names.index(name)
-        core = Controller(
-            self.settings[i],
+        start = (
             self.rng.getrandbits(50),
             random.Random(self.rng.getrandbits(32)),
             self.now * self.drift[name] + 100 * i,
             EPOCH + self.now,
         )
-        self.cores[name] = core
-        core.start()
-        self.flush(name)
-        self._tick(name, core)
+        if name in self.old_nodes:
+            return ProductionController(self.raw_settings[i], *start)
+        return Controller(self.settings[i], *start)
+
+    def upgrade(self, name: str, back_after: float) -> None:
+        """A node's process ends, and comes back with the present version."""
+        self.old_nodes.discard(name)
+        self.kill(name, back_after)
+
+    def limit_state(self, limits: dict[str, Any]) -> None:
+        """The state service has these limits of values and transactions from now on."""
+        self.state.value_limit = int(limits.get("value_kb", 64) * 1024)
+        self.state.ops_limit = int(limits.get("txn_ops", 1 << 30))
 
     def kill(self, name: str, back_after: float | None = None) -> None:
         """A node's process ends, and starts again later."""
@@ -511,7 +530,10 @@
         def deliver() -> None:
             if self.cores.get(node) is core and not self.asleep(node, deliver):
                 self.set_time(core)
-                core.spawn(getattr(core.requests, what)(n, arg))
+                if isinstance(core, ProductionController):
+                    core.request(what, n, arg)
+                else:
+                    core.spawn(getattr(core.requests, what)(n, arg))
                 self.flush(node)
 
         deliver()
