--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -8,7 +8,7 @@
 import pytest
 
 from marblestair.core import keys
-from marblestair.core.calls import Commit
+from marblestair.core.calls import Commit, Get
 from marblestair.core.model import JobSpec
 from tests.fakes.deployment import spec
 from tests.fakes.world import World
@@ -60,13 +60,16 @@
 def test_a_waiting_job_holds_no_part_of_its_team_s_limit_and_guarantee() -> None:
     w = warm()
     parent = w.submit(spec(1, tasks=1, estimate_s=40.0))
-    child = w.submit(spec(2, tasks=24, awaits=[parent]))
+    child = w.submit(spec(2, tasks=6, awaits=[parent]))
+    beside = w.submit(spec(3, tasks=7, estimate_s=3.0))
     w.run(2.0)
     core = running(w, "n0")
-    assert child not in core.guaranteed
+    # The guarantee is for eight tasks.
+    assert core.guaranteed >= {parent, beside} and child not in core.guaranteed
     assert all(s.spec.id != child for p in core.parts.values() for s in core.dispatch.ordered(p))
+    assert w.finish(beside, 60.0)
     # The whole of the team's limit is left for others.
-    other = w.submit(spec(3, tasks=23, estimate_s=3.0))
+    other = w.submit(spec(4, tasks=23, estimate_s=3.0))
     assert w.finish(other, 60.0)
     assert first_start(w, child) == -1.0
     assert w.finish(child, 90.0)
@@ -207,8 +210,10 @@
     for n in range(40):
         w.ask("n0", "submit", spec(100 + n, awaits=many))
     w.run(5.0)
-    # The first unknown id decides; no submission reads a thousand.
-    assert recorder.outside() < 40 * 6
+    # The first unknown id decides, by three reads, and two more show that the job itself is not
+    # known; only so many are under way at once.
+    most = running(w, "n0").answers.lookups.most_reads
+    assert most < 20 and recorder.count(Get) <= 5 * most
     assert w.finish(w.submit(spec(1, tasks=1, estimate_s=1.0)), 40.0)
 
 
@@ -270,6 +275,82 @@
     assert w.broken == []
 
 
+def hold_ends_back(w: World) -> None:
+    """No end of a job can be written from now on."""
+
+    def delay(_node: str, commit: Commit) -> float | None:
+        is_end = any(p.key.startswith(keys.FINALS) for p in commit.puts)
+        return 10_000.0 if is_end else None
+
+    w.late = delay
+
+
+def poll_all(w: World, jobs: list[JobSpec], seconds: float) -> list[int]:
+    """Poll for each job at each node for a while; the status codes of the answers."""
+    asked = []
+    until = w.now + seconds
+    while w.now < until:
+        asked += [w.ask(name, "query", job.id) for job in jobs for name in w.node_names]
+        w.run(2.0)
+    return [r.status for out in asked for r in out]
+
+
+@pytest.mark.parametrize("lost", [set(), {"query"}])
+@pytest.mark.parametrize("restart", [False, True])
+def test_descendants_whose_ends_cannot_be_written_are_not_called_queued(
+    restart: bool, lost: set[str]
+) -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=100.0)
+    chain = [spec(2, awaits=[parent.id])]
+    chain.append(spec(3, awaits=[chain[0].id]))
+    # More than those whose ends are being written at once.
+    chain += [spec(n, awaits=[parent.id]) for n in range(10, 40)]
+    for job in [parent, *chain]:
+        w.submit(job)
+    hold_ends_back(w)
+    w.lost |= lost
+    assert w.cancel(parent.id) == "cancelled"
+    if restart:
+        for name in w.node_names:
+            w.kill(name, 1.0)
+        w.run(10.0)
+    statuses = poll_all(w, chain, 1.4 * w.cancel_s)
+    assert 200 not in statuses[-20:] and 503 in statuses
+    w.late = lambda _node, _commit: None
+    assert all_cancelled(w, chain, w.cancel_s)
+    assert w.broken == []
+
+
+def test_who_acts_on_promises_with_an_old_view_does_not_call_a_child_queued() -> None:
+    """Its parent's cancel is known to nobody any more as an entry, so no promise carries it."""
+    w = warm()
+    for n in range(1, 40):
+        parent = spec(10 * n, tasks=1, estimate_s=100.0)
+        w.submit(parent, "n0")
+        record = w.state.data[keys.JOBS + parent.id][0]
+        if {owner(w, part) for part in (record[1], *map(int, record[2]))} == {"n0"}:
+            break
+    else:
+        raise AssertionError("no such parent")
+    w.run(2.0)
+    w.watch_lag["n1"] = 1000.0
+    w.lost.add("confirmed")
+    assert w.cancel(parent.id) == "cancelled"
+    w.until(lambda: keys.FINALS + parent.id in w.state.data, 20.0)
+    w.run(1.0)
+    child = spec(1, awaits=[parent.id])
+    w.submit(child, "n1")
+    assert keys.JOBS + child.id in w.state.data
+    w.state.outage(True, w.now)
+    statuses = poll_all(w, [child], 1.4 * w.cancel_s)
+    assert statuses and 200 not in statuses
+    w.watch_lag.clear()
+    w.calm()
+    assert all_cancelled(w, [child], w.cancel_s)
+    assert w.broken == []
+
+
 def test_a_cancel_is_confirmed_only_after_the_managers_of_descendants_have_it() -> None:
     """A node that is refused by the state service acts on an older view for a while."""
     w = warm()
--- /dev/null
+++ b/tests/test_state_limits.py
@@ -0,0 +1,93 @@
+"""The limits of the state service, now and later: nothing is written beyond the smaller ones."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+import pytest
+
+from marblestair import settings as st
+from marblestair.core import keys
+from marblestair.node import Node
+from marblestair.policy import Policy
+from tests.fakes.deployment import raw_settings, settings, spec
+from tests.fakes.world import World
+
+NOW: dict[str, Any] = dict(rps=100.0, write_rps=40.0, value_kb=4.0, txn_ops=12)
+LATER: dict[str, Any] = dict(value_kb=2.0, txn_ops=4, write_rps=30.0)
+
+
+def limits(later: Any) -> st.StateLimits:
+    return settings(0, state={**NOW, "next": later}).cluster.state
+
+
+@pytest.mark.parametrize(
+    "later, expected",
+    [
+        ({}, NOW),
+        (NOW, NOW),
+        (LATER, {**NOW, **LATER}),
+        (dict(txn_ops=4), {**NOW, "txn_ops": 4}),
+        (dict(rps=50.0, value_kb=64.0, other=1), {**NOW, "rps": 50.0}),
+        (dict(rps=900.0, write_rps=900.0, value_kb=64.0, txn_ops=99), NOW),
+    ],
+    ids=["empty", "equal", "smaller", "partial", "mixed", "larger"],
+)
+def test_the_smaller_of_each_pair_holds_from_the_start(
+    later: dict[str, Any], expected: dict[str, Any]
+) -> None:
+    assert limits(later) == st.StateLimits(**expected)
+
+
+def test_settings_without_next_are_as_before() -> None:
+    assert settings(0, state=NOW).cluster.state == st.StateLimits(**NOW)
+
+
+@pytest.mark.parametrize(
+    "later, name",
+    [
+        (5, "cluster.state.next"),
+        (dict(value_kb="2"), "cluster.state.next.value_kb"),
+        (dict(value_kb=0.0), "cluster.state.next.value_kb"),
+        (dict(write_rps=-1.0), "cluster.state.next.write_rps"),
+        (dict(rps=math.nan), "cluster.state.next.rps"),
+        (dict(txn_ops=2), "cluster.state.next.txn_ops"),
+        (dict(txn_ops=1.5), "cluster.state.next.txn_ops"),
+        (dict(value_kb=0.1), "cluster.state.next.value_kb"),
+    ],
+)
+def test_limits_that_cannot_work_are_refused_by_name(later: Any, name: str) -> None:
+    with pytest.raises(st.SettingsError, match=name.replace(".", r"\.")):
+        st.parse(raw_settings(0, state={**NOW, "next": later}))
+
+
+def test_the_budget_of_a_node_keeps_to_the_smaller_rates() -> None:
+    node = Node(settings(0, state={**NOW, "next": dict(rps=60.0, write_rps=30.0)}), Policy())
+    assert node.state_budget.write_rps <= 30.0 / 3
+    assert node.state_budget.rps <= 60.0 / 3
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_nothing_is_refused_when_the_limits_come_at_a_drawn_moment(seed: int) -> None:
+    """Many jobs, wide jobs, large descriptions, and long lists of awaited jobs."""
+    rng = random.Random(seed)
+    w = World(seed, 3, state={**NOW, "next": LATER})
+    w.capacity = 24
+    w.run(4.0)
+    w.at(rng.uniform(0.0, 30.0), lambda: w.limit_state(LATER))
+    types = ["t4", "t8", *(f"type-{n}-{'x' * 20}" for n in range(25))]
+    many = [spec(n, tasks=1, estimate_s=1.0) for n in range(100, 130)]
+    wide = [spec(1, tasks=400, estimate_s=1.5), spec(2, tasks=300, estimate_s=1.0, types=types)]
+    jobs = many + wide
+    for job in jobs:
+        w.submit(job)
+    jobs.append(spec(3, tasks=1, awaits=[job.id for job in jobs]))
+    w.submit(jobs[-1])
+    for job in jobs:
+        assert w.finish(job.id, 400.0), job.id
+    w.run(10.0)
+    assert not [k for k in w.state.data if k.startswith(keys.JOBS)]
+    assert w.state.refused == []
+    assert w.broken == []
