--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -163,6 +163,7 @@
             if result.status == 200:
                 controller.view.committed(commit, result.rev)
                 controller.sync()
+                controller.jobs.tell_record(spec.id)
                 self._log_accepted(spec, record)
                 return Outcome(201, JobStatus(JobState.QUEUED, 0, 0))
             if result.status == 400:
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -478,8 +478,8 @@
                 self.cancels.confirm(str(args[0]), int(args[1]))
             elif tag == "ended":
                 self.pipelines.told_ended(str(args[0]), str(args[1]))
-            elif tag == "released":
-                self.jobs.told_released(str(args[0]), args[1], int(args[2]))
+            elif tag == "record":
+                self.jobs.told_record(str(args[0]), args[1], int(args[2]))
         except (msgspec.ValidationError, IndexError, TypeError, ValueError) as e:
             self.log("error", f"malformed {tag} from {node}: {e}")
 
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -280,7 +280,8 @@
             controller.view.committed(commit, result.rev)
             controller.sync()
             if step is ManagerStep.RELEASE:
-                self._tell_released(managed.job)
+                controller.log("info", f"released {managed.job}: all that it awaits is done")
+                self.tell_record(managed.job)
         elif result.status == 409:
             # The record moved on: by an earlier try of ours, or the part has a new owner.
             # Whatever was in doubt is settled by reading it.
@@ -305,22 +306,23 @@
         lane = PROGRESS if step is ManagerStep.ABORT else FINAL
         return Commit([*guards, (final_key, 0)], [Put(final_key, FINAL_STATE[step])], [key], lane)
 
-    # --- released jobs -------------------------------------------------------------------------
+    # --- records ahead of the watch -------------------------------------------------------------
 
-    def _tell_released(self, job: str) -> None:
-        """Tell the owners of a released job's slices of its record, ahead of their watches."""
+    def tell_record(self, job: str) -> None:
+        """Tell the other nodes of a record that this one has committed, ahead of their watches.
+
+        They can start what was released, and know an accepted job when another one awaits it.
+        """
         controller = self._controller
         record = controller.view.jobs.get(job)
         if record is None:
             return
-        controller.log("info", f"released {job}: all that it awaits is done")
         version = controller.view.version(keys.JOBS + job)
-        owners = {controller.owner(int(part)) for part in record.slices} - {controller.node, None}
-        for node in sorted(owner for owner in owners if owner is not None):
-            controller.tell(node, "released", [job, msgspec.to_builtins(record), version])
+        for peer in controller.settings.others:
+            controller.tell(peer.node, "record", [job, msgspec.to_builtins(record), version])
 
-    def told_released(self, job: str, record: Any, version: int) -> None:
-        """The manager of a job has committed its release: take its record in."""
+    def told_record(self, job: str, record: Any, version: int) -> None:
+        """Another node has committed a job's record."""
         msgspec.convert(record, JobRecord)
         self._controller.view.take_in(keys.JOBS + job, record, version)
         self._controller.sync()
