--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -27,6 +27,8 @@
 
 #: time for which what an owner told of its part is recent enough to accept jobs into it
 SUMMARY_FRESH_S = 4.0
+#: submissions under way at once: as many as a node's changes accept within this time
+ADMITTED_S = 0.75
 #: commits tried for one submission
 MOST_TRIES = 3
 #: seconds after which a user who was refused for now may come back: usually, without a part to
@@ -51,9 +53,9 @@
     def __init__(self, controller: Controller) -> None:
         self._controller = controller
         state = controller.settings.cluster.state
-        # Submissions under way at once: about a second's worth of this node's writes.
-        per_second = max(1.0, state.write_rps / len(controller.settings.nodes) / 2)
-        self._stage = Stage(max(2, round(per_second)), per_second)
+        # Half of a node's changes are for other things, but submissions come first.
+        changes_per_s = state.write_rps / len(controller.settings.nodes)
+        self._stage = Stage(max(2, round(ADMITTED_S * changes_per_s)), max(1.0, changes_per_s / 2))
 
     def submit(self, spec: JobSpec) -> Step:
         """Accept or refuse a job, or tell the state of one that is known; an Outcome."""
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -38,8 +38,9 @@
 CARRY_LEASES = 2.5
 #: applications carried on at once that nobody waits for
 MOST_CARRIED = 64
-#: entries in one promise; a node that lacks more than these gets none, and its lease ends
-MOST_ENTRIES = 1000
+#: entries in one promise, which fit into one message; a node that lacks more than these gets none,
+#: and its lease ends
+MOST_ENTRIES = 10_000
 
 
 class Entry:
--- a/marblestair/core/faults.py
+++ b/marblestair/core/faults.py
@@ -21,8 +21,8 @@
 JOB_MACHINES = 3
 #: failures that count against a machine, by proven jobs or by distinct jobs, until it is faulty
 MACHINE_FAILURES = 3
-#: jobs and machines about which evidence is kept
-REMEMBERED = 2000
+#: jobs and machines about which evidence is kept: more than the largest fleets have machines
+REMEMBERED = 10_000
 #: counterparts that are kept of each of them
 COUNTERPARTS = 8
 #: pause after the first attempt of a suspected job, in report intervals, and the longest pause, in
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -61,6 +61,8 @@
 HASTY = 0.1
 #: leases of a worker within which a new owner carries out what an earlier one meant to rent
 RECENT_LEASES = 2.0
+#: jobs whose arrival is remembered, so that none counts twice, if fewer than half of them live
+LEAST_NOTED = 2000
 #: machines in one rental, at most, by the cloud's interface
 MAX_RENT = 50
 
@@ -424,7 +426,7 @@
             if record.is_waiting or spec.id in self._noted:
                 continue
             self._noted[spec.id] = None
-            while len(self._noted) > 2000:
+            while len(self._noted) > max(LEAST_NOTED, 2 * len(live)):
                 self._noted.pop(next(iter(self._noted)))
             if spec.kind == GANG:
                 boots = [k.type.boot_s for k in kinds(spec, controller.types)]
--- a/marblestair/core/view.py
+++ b/marblestair/core/view.py
@@ -12,8 +12,8 @@
 from marblestair.core.model import JobRecord
 from marblestair.core.split import MachineRecord, SplitRecord
 
-#: machines that are gone for good and remembered
-MOST_GONE = 2000
+#: machines that are gone for good and remembered: the largest fleets, replaced several times
+MOST_GONE = 20_000
 
 
 class ListedRange(msgspec.Struct, frozen=True):
--- a/marblestair/net/peers.py
+++ b/marblestair/net/peers.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-MAX_FRAME = 1 << 20
+#: a message larger than this is not taken; a summary of thousands of machines is far smaller
+MAX_FRAME = 4 << 20
 #: a link on which nothing came back for this long, though something was sent, is opened anew
 STALE_S = 2.5
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,9 +9,14 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import ListKeys
+from marblestair.core.faults import Faults
 from marblestair.core.machine import Machine
+from marblestair.core.messages import PartSummary
 from marblestair.core.model import MachineType
 from marblestair.core.slices import Slice
+from marblestair.core.view import View
+from marblestair.net.peers import MAX_FRAME
+from marblestair.settings import Workers
 from tests.fakes.deployment import spec
 from tests.fakes.worker import Worker
 from tests.fakes.world import World
@@ -87,6 +92,70 @@
     assert large["note"] < 3.5 * small["note"], seen
 
 
+def test_four_thousand_machines_cost_each_event_no_more_than_nine_hundred() -> None:
+    """Steps of a report, a tick and a note, and changes of the state service."""
+    workers = {**WORKERS, "report_s": 10.0, "lease_s": 61.0, "cancel_s": 130.0}
+    seen, changes = {}, {}
+    for machines, jobs in ((900, 45), (4000, 200)):
+        w = fleet(7, machines, workers=workers, cloud=dict(rps=16.0, list_lag_s=5.0))
+        fill(w, 1, jobs, 40, estimate_s=60.0, deadline_s=60.0, cpus=14.0)
+        w.run(30.0)
+        assert len(serving(w)) >= 0.95 * machines
+        assert sum(bool(m.live) for m in serving(w)) >= 0.9 * machines
+        before, then = w.state.writes, w.now
+        seen[machines] = cost(w, 4.0)
+        changes[machines] = (w.state.writes - before) / (w.now - then)
+        assert not w.broken and not w.state.refused and w.state.largest <= 4096
+    assert seen[4000]["report"] < 1.2 * seen[900]["report"], seen
+    # What is done twice a second goes through the part, which is 4.4 times as large.
+    assert seen[4000]["tick"] < 1.2 * 4.5 * seen[900]["tick"], seen
+    assert seen[4000]["note"] < 1.2 * 4.5 * seen[900]["note"], seen
+    assert max(changes.values()) < STATE["write_rps"], changes
+
+
+def test_nothing_remembered_or_told_stops_short_of_four_thousand_machines() -> None:
+    names = [f"host-{n:06d}" for n in range(4000)]
+    view = View()
+    for name in names:
+        view.take_in(keys.MACHINES + name, [0, "m16", "a", False, 0.0], 1)
+    for name in names:
+        view.take_absence(keys.MACHINES + name, 2)
+    assert set(view.gone) == set(names)
+    faults = Faults(Workers(**WORKERS))
+    for number, name in enumerate(names):
+        faults.failed(f"job-{number % 50}", name, True, 0.0)
+    assert all(faults.rest_s(name) > 0 for name in names)
+    # One node owns all of them, each in each list of the summary, and promises all cancels.
+    room = ("a-long-name-of-a-type", "a-long-name-of-a-zone", False, 1 << 40, 1 << 40, 1 << 40)
+    summary = PartSummary(
+        part=0,
+        term=1 << 32,
+        rooms=[room] * 4000,
+        held=[room] * 4000,
+        backlog=1 << 60,
+        shares={},
+        wants={},
+        waiting=[(f"job-{n:06d}", 100_000, 100_000) for n in range(4000)],
+        busy=[(name, 1 << 40) for name in names],
+        idle=[(name, 1234.56) for name in names],
+        needs=[f"job-{n:06d}" for n in range(4000)],
+        gangs=names,
+        leaving=names,
+        absent=names,
+        stuck={},
+    )
+    assert len(msgspec.msgpack.encode(summary)) < MAX_FRAME
+    w = World(1)
+    w.run(4.0)
+    core = w.cores["n0"]
+    assert core is not None
+    for number in range(4000):
+        core.cancels.learn(f"job-{number:06d}", 1_000_000)
+    entries = core.cancels.later_than(0)
+    assert entries is not None and len(entries) == 4000
+    assert len(msgspec.msgpack.encode(entries)) < MAX_FRAME
+
+
 def test_a_cleared_machine_takes_its_gang_with_the_report_that_shows_it() -> None:
     """Found on simulated days: once reports filled their own machine, one that was being cleared
     for an urgent gang was passed over, and the gang waited for a tick and one more report.
