--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -264,7 +264,7 @@
         count = spec.tasks if whole else 1
         told = {part: g for part in able if (g := self._summary(part)) is not None}
         fitting = [p for p, g in told.items() if gang_fits(spec, spec.need, g.rooms, count)]
-        if not fitting and controller.fleet.hurried(spec):
+        if not fitting and controller.fleet.arrivals.is_hurried(spec):
             # Else where it may stop what runs there.
             fitting = [
                 part
--- /dev/null
+++ b/marblestair/core/arrivals.py
@@ -0,0 +1,108 @@
+"""Which classes of jobs come, how often, and how soon their starts are wanted.
+
+The plan of the fleet keeps machines ready for gangs that are wanted sooner than a machine boots,
+and a spare for arrays of the usual size.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from marblestair.core.model import GANG, JobRecord, JobSpec
+from marblestair.core.renting import Coming, kinds
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: a class's rate of arrival is taken over this many seconds, or its latest jobs if they are more
+RATE_S, RATE_JOBS = 90.0, 64
+#: jobs whose arrival is remembered, so that none counts twice, if fewer than half of them live
+LEAST_NOTED = 2000
+#: what has not come for this long is not kept ready for
+FORGET_S = 120.0
+#: weight of the latest array in the usual size
+USUAL_WEIGHT = 0.1
+#: boot times of the fastest type within which a gang's start must be wanted for it to be hurried
+HURRIED_BOOTS = 2.0
+#: stands for all arrays among the classes
+ARRAYS = ""
+#: an aim that nobody has
+NO_AIM_S = 1e9
+
+
+class Arrivals:
+    """What one node has seen come."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        #: gang classes that come, and how often
+        self.classes: dict[str, Coming] = {}
+        #: usual size of an array job within its guarantee
+        self.usual_cpus = 0.0
+        self._arrived: dict[str, deque[float]] = {}
+        self._noted: dict[str, None] = {}
+        #: class -> when its latest job came
+        self._latest: dict[str, float] = {}
+
+    def is_hurried(self, spec: JobSpec) -> bool:
+        """Whether a job's class is one whose starts are wanted sooner than a machine boots."""
+        known = self.classes.get(spec.cls)
+        return known is not None and known.hurry
+
+    def note(self, live: list[JobRecord]) -> None:
+        """Take in the jobs that may start and were not seen before."""
+        start_aims = self._start_aims()
+        for record in live:
+            if record.is_waiting or record.spec.id in self._noted:
+                continue
+            self._noted[record.spec.id] = None
+            while len(self._noted) > max(LEAST_NOTED, 2 * len(live)):
+                self._noted.pop(next(iter(self._noted)))
+            if record.spec.kind == GANG:
+                self._note_gang(record, start_aims)
+            elif not self._controller.teams[record.spec.team].is_guest:
+                self._note_array(record.spec)
+        self._forget()
+
+    def _start_aims(self) -> dict[str, float]:
+        """Class -> its shortest aim for starts, which tells whether a boot is too long."""
+        aims: dict[str, float] = {}
+        for objective in self._controller.settings.cluster.objectives:
+            if objective.kind == "wait":
+                known = aims.get(objective.cls, objective.within_s)
+                aims[objective.cls] = min(objective.within_s, known)
+        return aims
+
+    def _guarantee_s(self) -> float:
+        """Time within which work within a guarantee is to start."""
+        objectives = self._controller.settings.cluster.objectives
+        return min((o.within_s for o in objectives if o.kind == "guarantee"), default=NO_AIM_S)
+
+    def _note_gang(self, record: JobRecord, start_aims: dict[str, float]) -> None:
+        controller, spec = self._controller, record.spec
+        boots = [kind.type.boot_s for kind in kinds(spec, controller.types)]
+        hurry = False
+        if boots:
+            wanted_s = start_aims.get(spec.cls, NO_AIM_S)
+            hurry = wanted_s < HURRIED_BOOTS * min(boots) or self._guarantee_s() < min(boots)
+        at = self._arrived.setdefault(spec.cls, deque(maxlen=RATE_JOBS))
+        at.append(record.ready_at)
+        span_s = controller.wall - at[0] if len(at) == RATE_JOBS else RATE_S
+        lately = sum(controller.wall - t < RATE_S for t in at)
+        self.classes[spec.cls] = Coming(spec, hurry, lately / max(1.0, min(span_s, RATE_S)))
+        self._latest[spec.cls] = controller.now
+
+    def _note_array(self, spec: JobSpec) -> None:
+        size = min(spec.tasks * spec.cpus, self._controller.teams[spec.team].cpus)
+        self.usual_cpus += USUAL_WEIGHT * (size - self.usual_cpus)
+        self._latest[ARRAYS] = self._controller.now
+
+    def _forget(self) -> None:
+        for cls, latest in list(self._latest.items()):
+            if self._controller.now - latest <= FORGET_S:
+                continue
+            del self._latest[cls]
+            self.classes.pop(cls, None)
+            if cls == ARRAYS:
+                self.usual_cpus = 0.0
--- a/marblestair/core/dispatch.py
+++ b/marblestair/core/dispatch.py
@@ -195,7 +195,7 @@
         if controller.faults.is_suspected(s.spec.id):
             return
         held = look.held.setdefault(s.spec.team, [0, 0])
-        if controller.fleet.hurried(s.spec):
+        if controller.fleet.arrivals.is_hurried(s.spec):
             share = controller.share(part, s.spec.team)
             ahead = (share[0] - held[0], share[1] - held[1])
             if controller.preemption.clear(part, s, ahead, True, look.survey):
--- a/marblestair/core/fleet.py
+++ b/marblestair/core/fleet.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from marblestair.core import keys, plan_inputs
+from marblestair.core.arrivals import Arrivals
 from marblestair.core.calls import (
     FINAL,
     SPLIT,
@@ -28,20 +28,19 @@
 )
 from marblestair.core.flow import Flow, Step
 from marblestair.core.machine import Machine
-from marblestair.core.model import GANG, JobRecord, JobSpec, MachineType, Order, Report
+from marblestair.core.model import GANG, MachineType, Order, Report
 from marblestair.core.part import Part
 from marblestair.core.planning import plan
 from marblestair.core.renting import (
-    Coming,
     Kind,
     Load,
     Plan,
     Tuning,
     Want,
-    kinds,
 )
 from marblestair.core.retiring import absent, broken, nearly_empty
 from marblestair.core.shares import hopeless
+from marblestair.core.spending import Spending
 from marblestair.core.split import MachineRecord, even
 
 if TYPE_CHECKING:
@@ -49,8 +48,6 @@
 
 #: names in one release
 MAX_RELEASE = 100
-#: a class's rate of arrival is taken over this many seconds, or its latest jobs if they are more
-RATE_S, RATE_JOBS = 90.0, 64
 #: seconds between two log lines of the plan
 PLAN_LOG_S = 10.0
 #: only what has been beyond the need for this many of its boot times is emptied: need that comes
@@ -61,8 +58,6 @@
 HASTY = 0.1
 #: leases of a worker within which a new owner carries out what an earlier one meant to rent
 RECENT_LEASES = 2.0
-#: jobs whose arrival is remembered, so that none counts twice, if fewer than half of them live
-LEAST_NOTED = 2000
 #: machines in one rental, at most, by the cloud's interface
 MAX_RENT = 50
 
@@ -94,21 +89,13 @@
         self.drained: set[str] = set()
         #: jobs put off, because their team's limit does not let all be done in time
         self.hopeless: set[str] = set()
-        #: gang classes that come, and when their latest jobs did
-        self.classes: dict[str, Coming] = {}
+        self.arrivals = Arrivals(controller)
+        self._spending = Spending(controller)
         #: machines beyond the need, and since when without a break
         self._over: dict[str, float] = {}
-        self._arrived: dict[str, deque[float]] = {}
-        #: usual size of an array job within its guarantee, in cpus
-        self.usual = 0.0
         #: the arrays' need for capacity, averaged: when, and how much
         self._average: tuple[float, float | None] = (0.0, None)
-        self._noted: dict[str, None] = {}
-        self._seen: dict[str, float] = {}
-        #: money per kind of use, by part, since it was last logged
-        self._spent: dict[int, dict[str, float]] = {}
-        self._accounted: dict[int, float] = {}
-        self._logged: dict[int, float] = {}
+        self._plan_logged_at = -1e9
 
     # --- types -----------------------------------------------------------------------------
 
@@ -279,7 +266,7 @@
             if not controller.acts(part.number) or not controller.types:
                 continue
             now = controller.now
-            self._account(part)
+            self._spending.account(part)
             lease_s = controller.settings.cluster.workers.lease_s
             for name in absent(part, lease_s, now):
                 part.machines[name].awaited = True
@@ -345,14 +332,14 @@
         live = sorted(controller.view.jobs.values(), key=lambda r: (r.ready_at, r.spec.id))
         loads = plan_inputs.loads(controller, told, live, self.tuning.patience)
         machines = plan_inputs.machines(controller, told)
-        self._note_classes(live)
+        self.arrivals.note(live)
         out = plan(
             loads,
             machines,
             controller.types,
             self._refused,
-            self.usual,
-            self.classes,
+            self.arrivals.usual_cpus,
+            self.arrivals.classes,
             self.tuning,
             self._smooth,
         )
@@ -363,9 +350,9 @@
 
     def _log_plan(self, out: Plan, loads: list[Load]) -> None:
         controller = self.controller
-        if controller.now - self._logged.setdefault(-1, -1e9) <= PLAN_LOG_S:
+        if controller.now - self._plan_logged_at <= PLAN_LOG_S:
             return
-        self._logged[-1] = controller.now
+        self._plan_logged_at = controller.now
         controller.log(
             "info",
             f"plan: arrays need {out.target:.0f} cpus of {out.capacity:.0f},"
@@ -404,89 +391,6 @@
         self._average = (now, value)
         return value
 
-    def hurried(self, spec: JobSpec) -> bool:
-        """Whether a job's class is one whose starts are wanted sooner than a machine boots."""
-        known = self.classes.get(spec.cls)
-        return known is not None and known.hurry
-
-    def _note_classes(self, live: list[JobRecord]) -> None:
-        """Remember which classes come, for what is kept ready for them."""
-        controller = self.controller
-        soon: dict[str, float] = {}
-        for o in controller.settings.cluster.objectives:
-            if o.kind == "wait":
-                # A class may have several aims; the shortest tells whether a boot is too long.
-                soon[o.cls] = min(o.within_s, soon.get(o.cls, o.within_s))
-        promised = min(
-            (o.within_s for o in controller.settings.cluster.objectives if o.kind == "guarantee"),
-            default=1e9,
-        )
-        for record in live:
-            spec = record.spec
-            if record.is_waiting or spec.id in self._noted:
-                continue
-            self._noted[spec.id] = None
-            while len(self._noted) > max(LEAST_NOTED, 2 * len(live)):
-                self._noted.pop(next(iter(self._noted)))
-            if spec.kind == GANG:
-                boots = [k.type.boot_s for k in kinds(spec, controller.types)]
-                wanted = soon.get(spec.cls)
-                hurry = wanted is not None and bool(boots) and wanted < 2 * min(boots)
-                hurry = hurry or (bool(boots) and promised < min(boots))
-                at = self._arrived.setdefault(spec.cls, deque(maxlen=RATE_JOBS))
-                at.append(record.ready_at)
-                span = controller.wall - at[0] if len(at) == RATE_JOBS else RATE_S
-                per_s = sum(controller.wall - t < RATE_S for t in at) / max(1.0, min(span, RATE_S))
-                self.classes[spec.cls] = Coming(spec, hurry, per_s)
-                self._seen[spec.cls] = controller.now
-            elif not controller.teams[spec.team].is_guest:
-                size = min(spec.tasks * spec.cpus, controller.teams[spec.team].cpus)
-                self.usual += 0.1 * (size - self.usual)
-                self._seen[""] = controller.now
-        # What has not come for long is not kept ready for.
-        for cls, t in list(self._seen.items()):
-            if controller.now - t > 120.0:
-                del self._seen[cls]
-                self.classes.pop(cls, None)
-                if not cls:
-                    self.usual = 0.0
-
-    def _account(self, part: Part) -> None:
-        """Where the money goes, in a log line about once a minute."""
-        now = self.controller.now
-        then = self._accounted.get(part.number, now)
-        self._accounted[part.number] = now
-        spent = self._spent.setdefault(part.number, {})
-        for m in part.machines.values():
-            if m.type is None:
-                continue
-            price = m.type.spot_price if m.spot else m.type.price
-            money = price * min(5.0, now - then) / 3600
-            if not m.session or m.silent:
-                spent["boot"] = spent.get("boot", 0.0) + money
-                continue
-            run = fetch = 0
-            for p in m.placed.values():
-                if p.run_since is not None:
-                    run += p.need[0]
-                else:
-                    fetch += p.need[0]
-            size = max(1, m.type.size[0])
-            kind = "spare" if m.placed else "idle"
-            for k, x in (("run", run), ("start", fetch), (kind, max(0, size - run - fetch))):
-                spent[k] = spent.get(k, 0.0) + money * x / size
-        total = sum(spent.values())
-        if now - self._logged.setdefault(part.number, now) >= 60.0 and total > 0:
-            self._logged[part.number] = now
-            split = ", ".join(f"{k} {v / total:.2f}" for k, v in sorted(spent.items()))
-            self.controller.log(
-                "info",
-                f"part {part.number}: {len(part.machines)} machines,"
-                f" {sum(len(s.pending) for s in part.slices.values())} tasks waiting,"
-                f" spent {total:.3f}: {split}",
-            )
-            spent.clear()
-
     def _refused(self, k: Kind) -> bool:
         return self.controller.now < self.refused.get((k.type.name, k.zone, k.spot), -1e9)
 
--- a/marblestair/core/migrate.py
+++ b/marblestair/core/migrate.py
@@ -147,7 +147,7 @@
                 return
             if not self._may_leave(s):
                 continue
-            hurried = s.spec.kind == GANG and controller.fleet.hurried(s.spec)
+            hurried = s.spec.kind == GANG and controller.fleet.arrivals.is_hurried(s.spec)
             if hurried:
                 share = controller.share(part, s.spec.team)
                 if controller.preemption.clear(part, s, share, False, survey):
--- a/marblestair/core/preempt.py
+++ b/marblestair/core/preempt.py
@@ -234,7 +234,9 @@
     def told(self, part: Part) -> list[Room]:
         """Room that a hurried class could have here by stopping lower-priority work."""
         controller = self.controller
-        coming: list[JobSpec] = [k.spec for k in controller.fleet.classes.values() if k.hurry]
+        coming: list[JobSpec] = [
+            k.spec for k in controller.fleet.arrivals.classes.values() if k.hurry
+        ]
         if not coming:
             return []
         level = max(PRIORITIES[x.priority] for x in coming)
--- /dev/null
+++ b/marblestair/core/spending.py
@@ -0,0 +1,68 @@
+"""Where the money of a part goes, for its log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marblestair.core.machine import Machine
+from marblestair.core.part import Part
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: seconds between two log lines of a part
+LOG_S = 60.0
+#: a pause longer than this, as after a takeover, is not counted in full
+LONGEST_PAUSE_S = 5.0
+SECONDS_PER_HOUR = 3600.0
+
+
+class Spending:
+    """The money spent by the parts of one node, by kind of use, since it was last logged."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+        self._spent: dict[int, dict[str, float]] = {}
+        self._accounted_at: dict[int, float] = {}
+        self._logged_at: dict[int, float] = {}
+
+    def account(self, part: Part) -> None:
+        """Count what a part's machines cost since the last call; about once a minute, log it."""
+        now = self._controller.now
+        pause_s = min(LONGEST_PAUSE_S, now - self._accounted_at.get(part.number, now))
+        self._accounted_at[part.number] = now
+        spent = self._spent.setdefault(part.number, {})
+        for machine in part.machines.values():
+            _add(spent, machine, pause_s)
+        if now - self._logged_at.setdefault(part.number, now) >= LOG_S and sum(spent.values()) > 0:
+            self._logged_at[part.number] = now
+            self._log(part, spent)
+            spent.clear()
+
+    def _log(self, part: Part, spent: dict[str, float]) -> None:
+        total = sum(spent.values())
+        uses = ", ".join(f"{use} {money / total:.2f}" for use, money in sorted(spent.items()))
+        waiting = sum(len(s.pending) for s in part.slices.values())
+        self._controller.log(
+            "info",
+            f"part {part.number}: {len(part.machines)} machines,"
+            f" {waiting} tasks waiting, spent {total:.3f}: {uses}",
+        )
+
+
+def _add(spent: dict[str, float], machine: Machine, pause_s: float) -> None:
+    """Divide what one machine cost by what its cpus were used for."""
+    if machine.type is None:
+        return
+    price = machine.type.spot_price if machine.spot else machine.type.price
+    money = price * pause_s / SECONDS_PER_HOUR
+    if not machine.session or machine.silent:
+        spent["boot"] = spent.get("boot", 0.0) + money
+        return
+    running = sum(p.need[0] for p in machine.placed.values() if p.run_since is not None)
+    starting = sum(p.need[0] for p in machine.placed.values() if p.run_since is None)
+    size = max(1, machine.type.size[0])
+    left = "spare" if machine.placed else "idle"
+    uses = (("run", running), ("start", starting), (left, max(0, size - running - starting)))
+    for use, cpus in uses:
+        spent[use] = spent.get(use, 0.0) + money * cpus / size
