--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -22,7 +22,7 @@
 from marblestair.core import keys
 from marblestair.core.calls import ACCEPT, Commit, PeerCall, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
-from marblestair.core.model import CANCEL
+from marblestair.core.model import cancelled
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -227,7 +227,7 @@
         if state is None or record is None or record.cancelled:
             return
         key = keys.JOBS + job
-        new = record.with_entry(CANCEL)
+        new = cancelled(record, controller.settings.cluster.state.value_kb)
         commit = Commit([(key, controller.view.version(key))], [Put(key, new)], [], ACCEPT)
         r: StateResult = yield commit
         if r.status == 200:
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -16,6 +16,7 @@
 from marblestair.core.answers import Answers
 from marblestair.core.authority import ISOLATED, Authority
 from marblestair.core.boots import BootTimes
+from marblestair.core.calls import Commit
 from marblestair.core.cancels import Cancels
 from marblestair.core.completion_records import CompletionRecords
 from marblestair.core.dispatch import Dispatch
@@ -98,6 +99,8 @@
         self.preemption = Preemption(self)
         self.completion_records = CompletionRecords(self)
         self.dispatch = Dispatch(self)
+        #: commits that the state service refused as malformed or too large
+        self.refused_commits = 0
         self._next_slow = now
         self._next_move = now
 
@@ -136,6 +139,17 @@
         """A call of a flow was answered."""
         self.runner.complete(call, result)
 
+    def note_refused_commit(self, commit: Commit) -> None:
+        """The state service refused a commit as malformed or too large: a defect of this program.
+
+        A key whose lease has ended is refused likewise, and is none.
+        """
+        if any(put.lease is not None for put in commit.puts):
+            return
+        self.refused_commits += 1
+        sizes = {put.key: len(msgspec.msgpack.encode(put.value)) for put in commit.puts}
+        self.log("error", f"commit refused: {commit.writes} changes, bytes by key {sizes}")
+
     def home(self, part: int) -> str:
         """The node that a part belongs to when all are well."""
         nodes = self.settings.nodes
@@ -449,6 +463,7 @@
             "on_promises": self.now < self.authority.trusted_until,
             "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
             "live_jobs": len(self.view.jobs),
+            "refused_commits": self.refused_commits,
             "managed_jobs": len(self.jobs.managed),
             "waiting_jobs": self.pipelines.waiting,
             "waiting": self.pipelines.status(),
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -16,7 +16,7 @@
 from marblestair.core.calls import ACCEPT, FINAL, PROGRESS, Commit, Put, Sleep, StateResult
 from marblestair.core.flow import Flow, Step
 from marblestair.core.managed import ManagedJob, PartReport
-from marblestair.core.model import CANCEL, RELEASE, JobRecord
+from marblestair.core.model import CANCEL, JobRecord, cancelled, released
 from marblestair.core.part import Part
 from marblestair.core.slices import Slice
 from marblestair.core.split import SplitRecord
@@ -28,6 +28,9 @@
 CANCEL_HERE_S = 3.0
 #: an unchanged report of a slice is repeated after this time
 REPEAT_S = 2.0
+#: pause after a change that the state service refuses as malformed or too large: a defect, which no
+#: repetition mends
+REFUSED_PAUSE_S = 5.0
 #: reports remembered as sent, beyond four for each live job
 MOST_SENT = 200
 
@@ -288,6 +291,8 @@
             if (yield from controller.answers.refresh(managed.job)):
                 managed.doubt = False
             yield Sleep(0.05)
+        elif result.status == 400:
+            yield Sleep(REFUSED_PAUSE_S)
         else:
             yield Sleep(0.1 + 0.2 * controller.rng.random())
 
@@ -298,10 +303,10 @@
         if step is ManagerStep.TOUCH:
             return Commit(guards, [Put(key, record)], [], ACCEPT)
         if step is ManagerStep.CANCEL:
-            return Commit(guards, [Put(key, record.with_entry(CANCEL))], [], ACCEPT)
+            value_kb = controller.settings.cluster.state.value_kb
+            return Commit(guards, [Put(key, cancelled(record, value_kb))], [], ACCEPT)
         if step is ManagerStep.RELEASE:
-            released = record.with_entry(RELEASE, round(controller.wall, 3))
-            return Commit(guards, [Put(key, released)], [], FINAL)
+            return Commit(guards, [Put(key, released(record, controller.wall))], [], FINAL)
         final_key = keys.FINALS + managed.job
         lane = PROGRESS if step is ManagerStep.ABORT else FINAL
         return Commit([*guards, (final_key, 0)], [Put(final_key, FINAL_STATE[step])], [key], lane)
--- a/marblestair/core/model.py
+++ b/marblestair/core/model.py
@@ -187,6 +187,24 @@
     return len(msgspec.msgpack.encode(record)) > share * value_kb * 1024
 
 
+def cancelled(record: JobRecord, value_kb: float) -> JobRecord:
+    """Return the record with the entry of a cancel.
+
+    One that was kept under larger limits than now comes out smaller: nothing of a cancelled job is
+    placed any more, so the machine types that it may use need not be kept.
+    """
+    entered = record.with_entry(CANCEL)
+    if not too_large(entered, value_kb, 1.0):
+        return entered
+    return msgspec.structs.replace(entered, spec=msgspec.structs.replace(record.spec, types=None))
+
+
+def released(record: JobRecord, wall: float) -> JobRecord:
+    """Return the record of a job all of whose awaited jobs are done; they need not be kept."""
+    entered = record.with_entry(RELEASE, round(wall, 3))
+    return msgspec.structs.replace(entered, spec=msgspec.structs.replace(record.spec, awaits=[]))
+
+
 def finite(*values: float | None) -> bool:
     """Whether every number is finite and not negative."""
     return all(v is None or (math.isfinite(v) and v >= 0) for v in values)
--- a/marblestair/node.py
+++ b/marblestair/node.py
@@ -188,6 +188,8 @@
             )
             if status <= 0 or status >= 500:
                 log.debug("state %s %s: %s", method, path, status)
+            if isinstance(call, Commit) and status == 400:
+                self.core.note_refused_commit(call)
             return wire.state_result(call, status, data)
         if isinstance(call, (CloudTypes, CloudRent, CloudDelete, CloudList)):
             if not await self.cloud_budget.take(1 if isinstance(call, CloudList) else 0, 0):
--- a/tests/test_state_limits.py
+++ b/tests/test_state_limits.py
@@ -10,10 +10,12 @@
 
 from marblestair import settings as st
 from marblestair.core import keys
+from marblestair.core.calls import Commit, Put
 from marblestair.node import Node
 from marblestair.policy import Policy
 from tests.fakes.deployment import raw_settings, settings, spec
 from tests.fakes.world import World
+from tests.helpers import manager
 
 NOW: dict[str, Any] = dict(rps=100.0, write_rps=40.0, value_kb=4.0, txn_ops=12)
 LATER: dict[str, Any] = dict(value_kb=2.0, txn_ops=4, write_rps=30.0)
@@ -91,3 +93,27 @@
     assert not [k for k in w.state.data if k.startswith(keys.JOBS)]
     assert w.state.refused == []
     assert w.broken == []
+
+
+def test_a_commit_that_is_refused_is_counted_and_logged_as_a_defect() -> None:
+    w = World(1)
+    w.run(4.0)
+    core = w.cores["n0"]
+    assert core is not None
+    core.note_refused_commit(Commit([], [Put("main/w/node/n0", 1, lease=5)]))
+    assert core.status()["refused_commits"] == 0
+    core.note_refused_commit(Commit([], [Put("main/w/job/job-1", "x" * 100)]))
+    assert core.status()["refused_commits"] == 1
+    assert [level for level, text in core.lines if "main/w/job/job-1" in text] == ["error"]
+    core.lines.clear()
+
+
+def test_a_refused_change_of_a_record_is_not_repeated_at_once() -> None:
+    w = World(1)
+    w.run(4.0)
+    job = w.submit(spec(1, tasks=1, estimate_s=60.0))
+    w.limit_state(dict(value_kb=0.1))
+    w.cancel_asked.add(job)
+    w.ask(manager(w, job), "cancel", job)
+    w.run(10.0)
+    assert 1 <= len(w.state.refused) <= 4
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -341,3 +341,20 @@
     assert w.cancel(parent.id) == "cancelled"
     assert all_cancelled(w, [child], w.cancel_s)
     assert w.broken == []
+
+
+def test_what_was_kept_under_larger_limits_is_read_and_rewritten_smaller() -> None:
+    w = old_world()
+    types = ["t4", "t8", *(f"type-{n}-{'x' * 30}" for n in range(52))]
+    jobs = [spec(n, tasks=3, estimate_s=25.0, types=types) for n in (1, 2)]
+    for job in jobs:
+        w.submit(job)
+    upgrade_all(w, w.node_names)
+    w.limit_state(LATER)
+    kept = w.state.data[keys.JOBS + jobs[0].id][0]
+    assert len(msgspec.msgpack.encode(kept)) > w.state.value_limit
+    assert w.cancel(jobs[0].id) == "cancelled"
+    assert w.finish(jobs[1].id, 90.0)
+    assert all_cancelled(w, jobs[:1], w.cancel_s)
+    assert w.state.refused == []
+    assert w.broken == []
