--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -131,7 +131,7 @@
     def _may_wait(self, job: str) -> bool:
         """Whether this node knows enough to tell of a job that it waits for others."""
         pipelines = self.controller.pipelines
-        return pipelines.view_reaches(job) and not pipelines.has_cancelled_ancestor(job)
+        return pipelines.knows_ancestors(job) and not pipelines.has_cancelled_ancestor(job)
 
     def lookup(self, job: str) -> Step:
         """The status of any job: UNKNOWN, or None when it cannot be told now."""
--- a/marblestair/core/pipelines.py
+++ b/marblestair/core/pipelines.py
@@ -116,6 +116,7 @@
             return
         if record is not None:
             # It may have come into the view after the jobs that need it.
+            self._unread.pop(job, None)
             self._controller.urgency.child_changed([job])
         elif self._final(job) is None:
             self._unread[job] = None
@@ -224,26 +225,44 @@
         """Whether users may be told that a job still waits, whose record was just read.
 
         The record alone does not show the cancel of an ancestor. This node's view does, unless
-        it is too old, or a parent is gone from it.
+        it is too old, or an ancestor is gone from it.
         """
         controller = self._controller
         job = record.spec.id
         lease_s = controller.settings.cluster.workers.lease_s
         if controller.now - controller.view.fresh_at > lease_s:
             return False
-        gone = [p for p in self._unfinished.get(job, ()) if p not in controller.view.jobs]
+        gone = self._gone_ancestors(job)
         if len(gone) > MOST_READS_FOR_USER:
             return False
-        for parent in sorted(gone):
-            if (yield from controller.answers.find_final(parent, lane)) is None:
+        for ancestor in gone:
+            if (yield from controller.answers.find_final(ancestor, lane)) is None:
                 return False
         return not self.has_cancelled_ancestor(job)
 
-    def view_reaches(self, job: str) -> bool:
-        """Whether the view holds all that was committed before a job's record.
+    def knows_ancestors(self, job: str) -> bool:
+        """Whether this node would know if an ancestor of a waiting job had been cancelled.
 
-        Without that, an ancestor may have been cancelled before the job was accepted, and this
-        node may not know it for as long as it acts on promises.
+        Its view must hold all that was committed before the job's record: an ancestor may have
+        been cancelled before the job was accepted, and a node that acts on promises may not learn
+        of it for long. And it must know how each ancestor ended that is gone from the view.
         """
         view = self._controller.view
-        return view.rev >= view.version(keys.JOBS + job)
+        return view.rev >= view.version(keys.JOBS + job) and not self._gone_ancestors(job)
+
+    def _gone_ancestors(self, job: str) -> list[str]:
+        """The ancestors of a waiting job that are over, and whose final state is not known here."""
+        if not self._unread:
+            return []
+        seen = {job}
+        stack = [job]
+        gone = []
+        while stack:
+            for parent in sorted(self._unfinished.get(stack.pop(), ())):
+                if parent in seen:
+                    continue
+                seen.add(parent)
+                stack.append(parent)
+                if parent in self._unread:
+                    gone.append(parent)
+        return gone
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -8,6 +8,7 @@
 import pytest
 
 from marblestair.core import keys
+from marblestair.core.answers import JobState
 from marblestair.core.calls import Commit, Get
 from marblestair.core.model import JobSpec
 from tests.fakes.deployment import spec
@@ -358,6 +359,23 @@
     assert w.broken == []
 
 
+def test_a_child_of_a_child_of_a_job_that_was_cancelled_unseen_is_not_called_queued() -> None:
+    """The end of its grandparent is known to its manager by no entry, and must be read."""
+    w = warm()
+    core = running(w, "n0")
+    records = {
+        "job-000002": [list_of(spec(2, awaits=["job-000001"])), 0, {"0": [[0, 6]]}, []],
+        "job-000003": [list_of(spec(3, awaits=["job-000002"])), 0, {"0": [[0, 6]]}, []],
+    }
+    for job, record in records.items():
+        core.view.take_in(keys.JOBS + job, record, core.view.rev + 1)
+    core.sync()
+    core.view.rev += 2
+    assert not core.pipelines.knows_ancestors("job-000003")
+    core.answers.final("job-000001", JobState.CANCELLED)
+    assert core.pipelines.has_cancelled_ancestor("job-000003")
+
+
 def test_a_cancel_is_confirmed_only_after_the_managers_of_descendants_have_it() -> None:
     """A node that is refused by the state service acts on an older view for a while."""
     w = warm()
