--- a/marblestair/core/pipelines.py
+++ b/marblestair/core/pipelines.py
@@ -67,6 +67,10 @@
         """Whether a waiting job names this one."""
         return job in self._children
 
+    def unfinished(self, job: str) -> Iterable[str]:
+        """What a waiting job awaits that is not known to be done."""
+        return self._unfinished.get(job, ())
+
     def children(self, job: str) -> Iterable[str]:
         """The waiting jobs that name a job."""
         return self._children.get(job, ())
--- a/marblestair/core/plan_inputs.py
+++ b/marblestair/core/plan_inputs.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
 
+#: boots of the fastest type that the jobs may still run whose successors are rented for
+SOON_BOOTS = 2.0
 #: a part that was not heard for this many of the workers' leases is left out
 HEARD_LEASES = 1.5
 
@@ -104,9 +106,47 @@
         due = due_at - controller.wall
         part = told.part.get(spec.id, -1)
         found.append(Load(spec, waiting, running, due, run_s, allowed, part))
+    return found + _coming_loads(controller, told, live, room, patience)
+
+
+def _coming_loads(
+    controller: Controller,
+    told: ToldState,
+    live: list[JobRecord],
+    room: TeamRoom,
+    patience: float,
+) -> list[Load]:
+    """The arrays whose awaited jobs all run: they start about when a machine rented now is up.
+
+    A gang would have machines set aside for it, which stand idle until it starts.
+    """
+    found = []
+    for record in live:
+        if not record.is_waiting or not _ends_soon(controller, told, record):
+            continue
+        spec = controller.urgency.scheduling_spec(record)
+        if spec.kind == GANG:
+            continue
+        allowed = room.take(record, spec.tasks)
+        run_s = max(1.0, spec.estimate_s * controller.factor.get(spec.cls, 1.0))
+        found.append(Load(spec, spec.tasks, 0, patience * run_s, run_s, allowed, -1))
     return found
 
 
+def _ends_soon(controller: Controller, told: ToldState, child: JobRecord) -> bool:
+    """Whether all that a job awaits runs, with all its tasks, and not for long any more."""
+    boot_s = min((kind.boot_s for kind in controller.types.values()), default=0.0)
+    for parent in controller.pipelines.unfinished(child.spec.id):
+        record = controller.view.jobs.get(parent)
+        if record is None or record.is_waiting or record.cancelled:
+            return False
+        waiting, running = told.tasks.get(parent, (0, 0))
+        run_s = record.spec.estimate_s * controller.factor.get(record.spec.cls, 1.0)
+        if waiting or not running or run_s > SOON_BOOTS * boot_s:
+            return False
+    return True
+
+
 def machines(controller: Controller, told: ToldState) -> list[Have]:
     """The machines at hand, up or booting, of parts that were heard."""
     found = []
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from marblestair.core import keys
+from marblestair.core import keys, plan_inputs
 from marblestair.core.answers import JobState
 from marblestair.core.calls import Commit, Get
 from marblestair.core.model import JobSpec
@@ -512,6 +512,32 @@
     assert urgency.scheduling_spec(view.jobs[jobs[0].id]).priority == "normal"
 
 
+def test_machines_are_rented_for_an_array_while_its_parents_run() -> None:
+    w = warm()
+    parent = w.submit(spec(1, tasks=2, estimate_s=8.0))
+    far = w.submit(spec(2, tasks=2, estimate_s=1000.0))
+    soon = w.submit(spec(3, tasks=4, awaits=[parent]))
+    w.submit(spec(4, tasks=4, awaits=[soon]))
+    w.submit(spec(5, tasks=4, awaits=[parent, far]))
+    w.submit(spec(6, kind="gang", tasks=2, awaits=[parent]))
+
+    def planned() -> dict[str, int]:
+        core = running(w, "n0")
+        live = list(core.view.jobs.values())
+        told = plan_inputs.ToldState(core)
+        return {load.spec.id: load.pending for load in plan_inputs.loads(core, told, live, 2.0)}
+
+    w.run(1.0)
+    assert not {f"job-{n:06d}" for n in (3, 4, 5, 6)} & planned().keys()
+    assert w.until(lambda: len([m for m in w.workers.values() if m.live]) > 0, 30.0)
+    assert w.until(lambda: soon in planned(), 5.0)
+    assert first_start(w, soon) == -1.0
+    assert planned()[soon] == 4
+    # Not what waits for more than that, or would have machines set aside.
+    assert not {f"job-{n:06d}" for n in (4, 5, 6)} & planned().keys()
+    assert w.broken == []
+
+
 def test_operators_see_what_a_waiting_job_waits_for() -> None:
     w = warm()
     parent = w.submit(spec(1, tasks=1, estimate_s=60.0))
