--- a/marblestair/core/acceptance.py
+++ b/marblestair/core/acceptance.py
@@ -193,7 +193,11 @@
             controller.answers.final(spec.id, JobState.CANCELLED)
             controller.log("info", f"accepted {spec.id} as cancelled, like {parent} before it")
             return Outcome(201, JobStatus(JobState.CANCELLED))
-        # Perhaps an earlier try, or another node's; the next one finds what became of it.
+        if result.status in (0, 409):
+            # Perhaps an earlier try of ours, or of the user by way of another node.
+            status: JobStatus | None = yield from controller.answers.fresh(spec.id)
+            if status is not None and status != UNKNOWN:
+                return Outcome(200, status)
         return Outcome(503, UNKNOWN, "not accepted yet", RETRY_S)
 
     def _log_accepted(self, spec: JobSpec, record: JobRecord) -> None:
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -121,7 +121,10 @@
         # of jobs that need it, likewise: they may tell that such a job is queued.
         numbers = {record.manager, *map(int, record.slices)}
         for descendant in controller.pipelines.descendants(job):
-            numbers.add(controller.view.jobs[descendant].manager)
+            # One that is over, though the index does not show it yet, is told of by nobody.
+            live = controller.view.jobs.get(descendant)
+            if live is not None:
+                numbers.add(live.manager)
         for number in sorted(numbers):
             part = s.parts[number]
             if (part.owner, part.incarnation) == controller.me or e.applied.get(
--- a/marblestair/core/takeover.py
+++ b/marblestair/core/takeover.py
@@ -37,7 +37,8 @@
         controller.sync_slice(part, job)
     _take_progress(part, pages)
     for s in part.slices.values():
-        s.suspect = bool(part.suspects)
+        # What awaits other jobs never had a task: it may start as soon as it is released.
+        s.suspect = bool(part.suspects) and not s.is_waiting
         if s.cancelled:
             # Users may have been told before the earlier owner fell.
             s.cancelled_at = controller.now - controller.authority.takeover_s
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -201,6 +201,64 @@
     assert w.broken == []
 
 
+@pytest.mark.parametrize("is_carried_out", [True, False])
+def test_an_acceptance_as_cancelled_without_an_answer_is_found_by_the_next_try(
+    is_carried_out: bool,
+) -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=60.0)
+    w.submit(parent)
+    w.cancel(parent.id)
+    child = spec(2, awaits=[parent.id])
+    final = keys.FINALS + child.id
+
+    def is_acceptance(call: Any) -> bool:
+        return isinstance(call, Commit) and any(put.key == final for put in call.puts)
+
+    first = iter([True])
+    if is_carried_out:
+        w.answer_late = lambda _node, call: (
+            100.0 if is_acceptance(call) and next(first, False) else None
+        )
+    else:
+        w.late = lambda _node, call: 5.0 if is_acceptance(call) and next(first, False) else None
+    assert answer(w, "n0", child)[0] in ((200,) if is_carried_out else (503,))
+    w.submit(child, "n0")
+    assert w.state_of(child.id) == "cancelled"
+    w.run(10.0)
+    assert w.state_of(child.id) == "cancelled"
+    assert w.broken == []
+
+
+def test_a_job_released_after_a_takeover_does_not_wait_for_silent_machines() -> None:
+    w = warm()
+    parent = spec(1, tasks=1, estimate_s=16.0)
+    child = spec(2, tasks=2, estimate_s=1.0, awaits=[parent.id])
+    holding = [spec(n, tasks=8, estimate_s=60.0) for n in (3, 4)]
+    for job in [parent, child, *holding]:
+        w.submit(job)
+    w.until(lambda: first_start(w, parent.id) > 0 and len(w.starts) >= 12, 30.0)
+    ran = {name for _, job, _, name, _ in w.starts if job == parent.id}
+    # One machine falls silent with the restart: its part settles only when its lease is over.
+    silent = next(m for m in w.workers.values() if m.live and m.name not in ran)
+    silent.hung = True
+    for name in w.node_names:
+        w.kill(name, 0.5)
+    w.run(2.0)
+    assert w.until(lambda: any(p.suspects for c in w.cores.values() if c for p in c.acting()), 8.0)
+    waiting = [
+        p.slices[child.id]
+        for c in w.cores.values()
+        if c
+        for p in c.acting()
+        if p.suspects and child.id in p.slices
+    ]
+    assert all(not s.suspect for s in waiting)
+    silent.hung = False
+    assert w.finish(child.id, 60.0)
+    assert w.broken == []
+
+
 def test_what_cannot_be_decided_now_is_refused_for_now() -> None:
     w = warm()
     w.state.outage(True, w.now)
