--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -480,6 +480,54 @@
     assert w.broken == []
 
 
+@pytest.mark.parametrize("is_cancelled", [False, True])
+@pytest.mark.parametrize("number", range(1, 11))
+def test_a_node_falls_with_each_commit_of_a_pipeline(number: int, is_cancelled: bool) -> None:
+    """Its commit is carried out; who takes over finds what it left."""
+    w = warm(number)
+    chain = [spec(1, tasks=1, estimate_s=4.0)]
+    for n in (2, 3):
+        chain.append(spec(n, tasks=2, estimate_s=1.0, awaits=[chain[-1].id]))
+    for job in chain:
+        w.submit(job)
+    left = iter(range(number - 1, -1, -1))
+
+    def fall(what: str, node: str, call: Any) -> None:
+        if what != "call" or not isinstance(call, Commit):
+            return
+        changed = [*(put.key for put in call.puts), *call.deletes]
+        if any(key.endswith(job.id) for key in changed for job in chain) and next(left, 1) == 0:
+            w.at(0.0, lambda: w.kill(node, 0.3 if number % 2 else 8.0))
+
+    w.on_point = fall
+    if is_cancelled:
+        w.run(0.5 * number)
+        state = w.cancel(chain[0].id)
+        assert all_cancelled(w, chain[1:], w.cancel_s) if state == "cancelled" else True
+    for job in chain:
+        end = "cancelled" if w.told.get(chain[0].id) == "cancelled" else "done"
+        assert w.until(lambda j=job, e=end: w.state_of(j.id) == e, 60.0), (job.id, w.told)
+    assert w.broken == []
+
+
+def test_a_cancel_against_the_last_task_of_a_parent() -> None:
+    """Whichever of the two is committed first, what needs the job follows it."""
+    ends = set()
+    for tenths in range(0, 40, 2):
+        w = warm()
+        parent = spec(1, tasks=1, estimate_s=3.0)
+        child = spec(2, tasks=1, estimate_s=1.0, awaits=[parent.id])
+        w.submit(parent)
+        w.submit(child)
+        w.until(lambda w=w: ("job-000001", 0) in w.results, 30.0)
+        w.run(tenths / 20.0)
+        end = w.cancel(parent.id)
+        ends.add(end)
+        assert w.until(lambda w=w, e=end: w.state_of("job-000002") == e, 60.0)
+        assert w.broken == []
+    assert ends == {"done", "cancelled"}
+
+
 def test_notes_of_ends_and_releases_may_all_be_lost() -> None:
     w = warm()
     w.lost |= {"ended", "record"}
