--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -91,6 +91,26 @@
     w.run(0.5)
 
 
+def too_early(w: World) -> None:
+    """A job starts before the one that it awaits is done."""
+    w.specs["job-000002"] = spec(2, tasks=2)
+    w.results.add(("job-000002", 0))
+    start(w, 0, 0)
+
+
+def orphan(w: World, state: str) -> None:
+    """A job is called alive too long after one before it, twice removed, was cancelled."""
+    w.specs["job-000002"] = spec(2, awaits=["job-000003"])
+    w.specs["job-000003"] = spec(3)
+    judge(w, "submit", "queued", 201, "job-000003")
+    w.cancel_asked.add("job-000003")
+    judge(w, "withdraw", "cancelled", job="job-000003")
+    judge(w, "query", state)
+    assert not w.broken
+    w.run(w.cancel_s + 0.1)
+    judge(w, "query", state)
+
+
 CRIES: dict[str, tuple[dict[str, Any], Callable[[World], object], str]] = {
     "twice": ({}, lambda w: (start(w, 0, 0), start(w, 0, 2, 2)), "ran_twice"),
     "limit": (
@@ -117,6 +137,9 @@
     "back": ({}, lambda w: (cancelled(w), judge(w, "query", "running")), "went_back"),
     "by nobody": ({}, lambda w: judge(w, "query", "cancelled"), "went_back"),
     "beside room": ({}, waits, "waits"),
+    "too early": ({"awaits": ["job-000002"]}, too_early, "too_early"),
+    "orphan queued": ({"awaits": ["job-000002"]}, lambda w: orphan(w, "queued"), "orphaned"),
+    "orphan running": ({"awaits": ["job-000002"]}, lambda w: orphan(w, "running"), "orphaned"),
     "unguarded": ({}, unguarded, "unguarded"),
     "reordered": ({}, reordered, "reordered"),
 }
