--- a/tests/test_cost_of_a_job.py
+++ b/tests/test_cost_of_a_job.py
@@ -36,7 +36,8 @@
 #: the most that one job may cost on the average of all that are measured; half of them are
 #: cancelled, the others finish
 MOST = {
-    # Its record, kept and told to the two other nodes, and the first reports of its slices.
+    # Its record, kept and told to the two other nodes (some 200 bytes each, which were not sent
+    # when this was 3 messages and 250 bytes), and the first reports of its slices.
     "accepted": Cost(reads=0, commits=1, changes=1, messages=5, bytes=650, steps=200),
     # From memory, but for what its parts report.
     "polled": Cost(reads=0, commits=0, changes=0, messages=2, bytes=60, steps=80),
