Reproduced: a far descendant of a cancelled job is called queued for good

A job (managed at n0), its child (n1) and grandchild (n2). n2 loses its peers and the state service; a user cancels the first job at n0. n1 records the child's end, which needs no confirmation, and with its record the path from the first job to the grandchild is gone: n0 asks nobody else and tells the user. The first job's record goes too, so no promise carries its cancel. In the outage that follows n2 acts on promises and calls the grandchild queued without an end.

The checker judges orphaned in its second meaning too: a task that goes on cancel_s after a user was told that its job, or one before it, is over.

--- a/tests/fakes/rules.py
+++ b/tests/fakes/rules.py
@@ -35,6 +35,8 @@
         #: order of all requests and such answers
         self.final_told: dict[str, tuple[str, int]] = {}
         self.cancel_told: dict[str, float] = {}
+        #: job -> when a user was first told that it is over, done or cancelled
+        self.over_told: dict[str, float] = {}
         #: when the last task of a job was done
         self.done_at: dict[str, float] = {}
         #: time, job, task, machine and attempt of each start
@@ -68,9 +70,15 @@
                 missing = [i for i in range(self.specs[job].tasks) if (job, i) not in self.results]
                 if missing:
                     self.broken.append(f"not_done: {job} lacks {missing}")
-            if r.state == "cancelled":
-                self.cancel_told.setdefault(job, self.now)
-            self.told[job] = r.state
+            self._note_told(job, r.state)
+
+    def _note_told(self, job: str, state: str) -> None:
+        """Remember what a user was told, and when it was told first."""
+        if state in ("done", "cancelled"):
+            self.over_told.setdefault(job, self.now)
+        if state == "cancelled":
+            self.cancel_told.setdefault(job, self.now)
+        self.told[job] = state
 
     def ancestors(self, job: str) -> set[str]:
         """The jobs that a job needs, directly or through others."""
@@ -170,10 +178,22 @@
                 told = self.cancel_told.get(t.job)
                 if told is not None and self.now > told + self.cancel_s:
                     self.broken.append(f"ran_cancelled: {t.job} on {m.name}")
+                self._judge_left_over(m, t)
         for team in self.settings[0].cluster.teams:
             if used.get(team.name, 0.0) > team.cpu_limit + 1e-9:
                 self.broken.append(f"quota: {team.name} uses {used[team.name]}")
 
+    def _judge_left_over(self, m: Worker, t: FakeTask) -> None:
+        """Judge that no task goes on of which the controllers no longer know.
+
+        A user was told that its job is over, or one before its job, and it runs all the same.
+        """
+        over = {job: self.cancel_told.get(job) for job in self.ancestors(t.job)}
+        over[t.job] = self.over_told.get(t.job)
+        for job, told in over.items():
+            if told is not None and self.now > told + self.cancel_s:
+                self.broken.append(f"orphaned: {t.job}/{t.index} on {m.name}, {job} is over")
+
     def _watch_waiting(self) -> None:
         """Once troubles are over, no job waits 90 s beside a machine with room for it while its
         team is under its limit.
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -111,6 +111,27 @@
     judge(w, "query", state)
 
 
+def left_over(w: World) -> None:
+    """A task goes on though users were told that its job is done."""
+    start(w, 0, 0)
+    w.results |= {("job-000001", index) for index in range(6)}
+    judge(w, "query", "done")
+    w.run(w.cancel_s)
+    assert not w.broken
+    w.run(0.5)
+
+
+def left_over_child(w: World) -> None:
+    """A task goes on though a job before its own was cancelled."""
+    w.specs["job-000002"] = spec(2)
+    judge(w, "submit", "queued", 201, "job-000002")
+    start(w, 0, 0)
+    w.specs["job-000001"] = spec(1, spot=True, estimate_s=1e6, awaits=["job-000002"])
+    w.cancel_asked.add("job-000002")
+    judge(w, "withdraw", "cancelled", job="job-000002")
+    w.run(w.cancel_s + 0.5)
+
+
 CRIES: dict[str, tuple[dict[str, Any], Callable[[World], object], str]] = {
     "twice": ({}, lambda w: (start(w, 0, 0), start(w, 0, 2, 2)), "ran_twice"),
     "limit": (
@@ -140,6 +161,8 @@
     "too early": ({"awaits": ["job-000002"]}, too_early, "too_early"),
     "orphan queued": ({"awaits": ["job-000002"]}, lambda w: orphan(w, "queued"), "orphaned"),
     "orphan running": ({"awaits": ["job-000002"]}, lambda w: orphan(w, "running"), "orphaned"),
+    "left over": ({}, left_over, "orphaned"),
+    "left over child": ({}, left_over_child, "orphaned"),
     "unguarded": ({}, unguarded, "unguarded"),
     "reordered": ({}, reordered, "reordered"),
 }
--- /dev/null
+++ b/tests/test_pipeline_search.py
@@ -0,0 +1,146 @@
+"""A seeded search for what cancels leave behind: pipelines, cancels and drawn troubles together.
+
+Jobs called alive after one before them was cancelled, tasks that outlive their job, starts of
+cancelled jobs and starts before all parents are done are looked for from the outside.
+
+By hand it also runs at other sizes, which take minutes:
+
+    python -m tests.test_pipeline_search MACHINES NODES PIPELINES SEED [SEED ...]
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from typing import Any
+
+import pytest
+
+from tests.fakes.deployment import spec
+from tests.test_answers_search import BUSY_S, Search
+
+#: jobs in one pipeline, at the most
+MOST_STAGES = 6
+
+
+class PipelineSearch(Search):
+    """A deployment whose jobs form pipelines, some of which are cancelled at a drawn moment."""
+
+    def __init__(self, seed: int, machines: int, nodes: int, pipelines: int) -> None:
+        super().__init__(seed, machines, nodes, pipelines * MOST_STAGES)
+        self.rng = random.Random(f"pipelines {seed}")
+        self.jobs = []
+        self.pipelines = [self._pipeline(n) for n in range(pipelines)]
+
+    def _pipeline(self, number: int) -> list[Any]:
+        """A chain with a wide stage in it, a diamond at its end."""
+        first = 1 + number * MOST_STAGES
+        jobs: list[Any] = []
+        for n in range(first, first + self.rng.randint(2, MOST_STAGES)):
+            before = [job.id for job in jobs]
+            awaits = sorted({*before[-1:], *self.rng.sample(before, min(len(before), 1))})
+            if len(before) > 1 and self.rng.random() < 0.3:
+                awaits = before[-2:-1]
+            jobs.append(
+                spec(
+                    n,
+                    kind=self.rng.choice(["array", "array", "gang"]),
+                    tasks=self.rng.choice([1, 2, 3, 6]),
+                    estimate_s=self.rng.choice([1.0, 3.0, 10.0, 40.0]),
+                    awaits=awaits,
+                )
+            )
+        return jobs
+
+    def run(self) -> list[str]:
+        """Play it all; what broke, and what is not answered in the end."""
+        w = self.world
+        w.run(4.0)
+        for pipeline in self.pipelines:
+            start = self.rng.uniform(0.0, BUSY_S)
+            w.at(start, lambda jobs=pipeline: self._submit_next(list(jobs), 30))
+            if self.rng.random() < 0.6:
+                job = self.rng.choice(pipeline[:2])
+                at = start + self.rng.uniform(2.0, 25.0)
+                w.at(at, lambda job=job: self._cancel_accepted(job.id))
+        self._look()
+        self._trouble()
+        w.run(2.5 * BUSY_S)
+        w.answer_late = lambda node, call: None
+        w.late = lambda node, commit: None
+        w.watch_lag.clear()
+        w.calm()
+        w.run(3.0 * w.cancel_s)
+        return w.broken + [f"unanswered: {job}" for job in w.unanswered()]
+
+    # --- users -----------------------------------------------------------------------------
+
+    def _submit_next(self, jobs: list[Any], tries: int) -> None:
+        """Submit the jobs of a pipeline one after another, each once those before are accepted."""
+        w = self.world
+        while jobs and jobs[0].id in w.accepted:
+            jobs.pop(0)
+            tries = 30
+        if not jobs or not tries:
+            return
+        w.specs[jobs[0].id] = jobs[0]
+        w.ask(self._anyone(), "submit", jobs[0])
+        w.at(self.rng.choice([0.3, 1.5]), lambda: self._submit_next(jobs, tries - 1))
+
+    def _cancel_accepted(self, job: str) -> None:
+        if job in self.world.accepted:
+            self._cancel(job, 60)
+
+    # --- troubles --------------------------------------------------------------------------
+
+    def _trouble(self) -> None:
+        super()._trouble()
+        w = self.world
+        at = 12.0
+        while at < 2.0 * BUSY_S:
+            w.at(at, self.rng.choice([self._alone_then_out, self._unheard, self._long_outage]))
+            at += self.rng.uniform(10.0, 60.0)
+
+    def _alone_then_out(self) -> None:
+        """A node loses the state service, perhaps its peers, and then the service is out."""
+        w = self.world
+        name = self._anyone()
+        peers = [x for x in w.node_names if x != name]
+        if self.rng.random() < 0.6:
+            w.isolate(name, *peers, hold=self.rng.random() < 0.5)
+        w.state.refused_nodes.add(name)
+        alone_s = self.rng.uniform(1.0, 3.8)
+        w.at(alone_s, self._long_outage)
+        w.at(alone_s + self.rng.uniform(0.0, 0.6), w.heal)
+        w.at(alone_s + 5.0, lambda: w.state.refused_nodes.discard(name))
+
+    def _long_outage(self) -> None:
+        """The state service is out for longer than a cancel may take."""
+        w = self.world
+        w.state.outage(True, w.now)
+        w.at(self.rng.uniform(0.3, 1.4) * w.cancel_s, lambda: w.state.outage(False, w.now))
+
+    def _unheard(self) -> None:
+        """Machines do not hear what they are told, or are not heard."""
+        w = self.world
+        up = [m for m in w.workers.values() if m.up and not m.deleted]
+        for m in self.rng.sample(up, min(len(up), 3)):
+            what = self.rng.choice(["deaf", "mute", "hung"])
+            setattr(m, what, True)
+            w.at(self.rng.uniform(1.0, 30.0), lambda m=m, what=what: setattr(m, what, False))
+
+
+@pytest.mark.parametrize(("nodes", "seed"), [(3, 1), (3, 2), (5, 3)])
+def test_cancelled_pipelines_leave_nothing_behind_under_drawn_troubles(
+    nodes: int, seed: int
+) -> None:
+    assert not PipelineSearch(seed, 12, nodes, 8).run()
+
+
+if __name__ == "__main__":
+    machines, nodes, pipelines, *seeds = [int(x) for x in sys.argv[1:]]
+    for seed in seeds:
+        broken = PipelineSearch(seed, machines, nodes, pipelines).run()
+        rules = sorted({x.split(":")[0] for x in broken})
+        print(f"{machines} machines, {nodes} nodes, {pipelines} pipelines, seed {seed}:", rules)
+        print("\n".join(f"  {x}" for x in broken[:4]), flush=True)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -673,3 +673,45 @@
 
 def list_of(job: JobSpec) -> list[Any]:
     return [getattr(job, field) for field in job.__struct_fields__]
+
+
+def submit_chain_managed_apart(w: World) -> list[JobSpec]:
+    """Three jobs, each awaiting the one before, managed at n0, n1 and n2; the first runs at n0."""
+    chain: list[JobSpec] = []
+    numbers = iter(range(100, 400))
+    for name in w.node_names:
+        for n in numbers:
+            job = spec(n, tasks=1, estimate_s=100.0, awaits=[x.id for x in chain[-1:]])
+            w.submit(job, name)
+            record = w.state.data[keys.JOBS + job.id][0]
+            parts = {record[1]} if chain else {record[1], *map(int, record[2])}
+            if {owner(w, part) for part in parts} == {name}:
+                chain.append(job)
+                break
+            w.cancel(job.id)
+    assert len(chain) == 3
+    return chain
+
+
+def test_a_far_descendant_is_not_called_queued_once_the_job_between_is_over() -> None:
+    """The manager of a grandchild loses its peers and the state service during a cancel.
+
+    It acts on promises afterwards. The job between ends first, and its record with it; the cancel
+    may still not be told before the grandchild's manager has it or can act no more.
+    """
+    w = warm()
+    chain = submit_chain_managed_apart(w)
+    w.run(2.0)
+    w.isolate("n2", "n0", "n1")
+    w.state.refused_nodes.add("n2")
+    w.cancel_asked.add(chain[0].id)
+    w.ask("n0", "cancel", chain[0].id)
+    w.run(2.2)
+    w.state.outage(True, w.now)
+    w.heal()
+    poll_all(w, chain[2:], 2.0 * w.cancel_s)
+    w.state.refused_nodes.clear()
+    w.calm()
+    assert w.cancel(chain[0].id) == "cancelled"
+    assert all_cancelled(w, chain, w.cancel_s)
+    assert w.broken == []
