Log lines and counts of decisions: by what a node acts, what it knew, why it told

One bounded line a decision: authority by lease, promises or none, with the age and revision of the view; a promise with the cancels it carries; a cancel known, confirmed (by whose answers or by time) and forgotten; each change of a record that a manager commits; the end of an awaited job. No behaviour changes.

--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -16,6 +16,7 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import ACCEPT, Get, PeerCall, StateResult
+from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Step
 from marblestair.core.lookups import Lookups
 from marblestair.core.model import JobRecord
@@ -90,6 +91,10 @@
 
     def final(self, job: str, state: JobState) -> None:
         """Remember a job's final state."""
+        if job not in self.finals and self.controller.pipelines.is_awaited(job):
+            self.controller.decisions.note(
+                self.controller.now, Decision.END, state, job=job, view_rev=self.controller.view.rev
+            )
         self.finals[job] = state
         while len(self.finals) > REMEMBERED:
             self.finals.popitem(last=False)
@@ -106,7 +111,12 @@
             return JobStatus(self.finals[job])
         if self.controller.cancels.known(job):
             return JobStatus(JobState.CANCELLED) if self.controller.cancels.confirmed(job) else None
-        return None if found is None else found.status
+        decisions = self.controller.decisions
+        if found is None:
+            decisions.count(Decision.ANSWER, "refused: no proof")
+            return None
+        decisions.count(Decision.ANSWER, f"by {found.proof.name.lower()}")
+        return found.status
 
     def local(self, job: str) -> JobStatus | None:
         """The status of a job if this node may tell it from memory."""
--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -25,6 +26,7 @@
     StateResult,
     Watch,
 )
+from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Flow, Step
 from marblestair.core.part import DRIFT, Part
 
@@ -52,6 +54,14 @@
     asked_at: float
 
 
+class Basis(enum.StrEnum):
+    """By what a node may act for its parts."""
+
+    LEASE = "lease"
+    PROMISES = "promises"
+    NONE = "none"
+
+
 class Authority:
     """Leases and ownership of one node."""
 
@@ -86,6 +96,8 @@
         self._resting_until = -1e9
         #: version of the split at which a takeover was sent whose fate is unknown
         self._take_doubt = -1
+        #: by what this node acted when it last looked
+        self._basis = Basis.NONE
 
     # --- what holds ------------------------------------------------------------------------
 
@@ -101,6 +113,26 @@
             and now - controller.view.fresh_at < controller.settings.cluster.workers.lease_s
         )
 
+    def _note_basis(self, now: float) -> None:
+        """Log by what this node may act, when that has changed."""
+        basis = Basis.NONE
+        if self.holds(now):
+            basis = Basis.LEASE if now < self.until else Basis.PROMISES
+        if basis is self._basis:
+            return
+        self._basis = basis
+        view = self.controller.view
+        self.controller.decisions.note(
+            now,
+            Decision.AUTHORITY,
+            basis,
+            lease_left_s=round(self.until - now, 2),
+            promises_left_s=round(self.trusted_until - now, 2),
+            view_age_s=round(now - view.fresh_at, 2),
+            view_rev=view.rev,
+            parts={number: part.term for number, part in self.controller.parts.items()},
+        )
+
     def acts(self, part: Part | None, now: float) -> bool:
         """Whether this node may act for a part."""
         return part is not None and part.ready and not part.closing and self.holds(now)
@@ -307,6 +339,15 @@
         entries = controller.cancels.later_than(rev)
         if entries is not None:
             self.promised[node] = now + self.ttl
+            controller.decisions.note(
+                now,
+                Decision.PROMISE,
+                "given",
+                to=node,
+                asker_rev=rev,
+                view_rev=controller.view.rev,
+                cancels=len(entries),
+            )
         return entries
 
     def bound(self, node: str, now: float) -> bool:
@@ -322,6 +363,7 @@
     def tick(self, now: float) -> None:
         """Take what is orphaned, give back what is too much."""
         controller = self.controller
+        self._note_basis(now)
         for node, incarnation in controller.view.nodes.items():
             if self.seen_since.get(node, (None, 0.0))[0] != incarnation:
                 self.seen_since[node] = (incarnation, now)
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -21,6 +21,7 @@
 
 from marblestair.core import keys
 from marblestair.core.calls import ACCEPT, Commit, PeerCall, Put, Sleep, StateResult
+from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Flow, Step
 from marblestair.core.model import cancelled
 
@@ -80,6 +81,7 @@
         e = self._entries.get(job)
         if e is None:
             e = self._entries[job] = Entry(rev, controller.now)
+            self._note("known", job, rev=rev, view_rev=controller.view.rev)
             for p in controller.parts.values():
                 p.cancel(job, controller.now)
             controller.pipelines.cancelled(job)
@@ -92,6 +94,7 @@
             e = self._entries.get(job)
             if e is not None and self.controller.view.rev >= e.rev:
                 # Buried; its final state tells the rest.
+                self._note("forgotten", job, view_rev=self.controller.view.rev)
                 del self._entries[job]
         elif record.cancelled:
             self.learn(job, self.controller.view.version(keys.JOBS + job))
@@ -101,6 +104,7 @@
         controller = self.controller
         for job in [j for j, e in self._entries.items() if e.rev <= controller.view.rev]:
             if job not in controller.view.jobs:
+                self._note("forgotten", job, view_rev=controller.view.rev)
                 del self._entries[job]
 
     # --- what may be told ------------------------------------------------------------------
@@ -115,7 +119,7 @@
         e, record, s = self._entries.get(job), controller.view.jobs.get(job), controller.view.split
         if e is None or record is None or s is None or controller.view.rev < e.rev:
             return None
-        over = controller.now - e.since > OVER_LEASES * controller.settings.cluster.workers.lease_s
+        over = self._is_over(e)
         out = []
         # The manager's owner, too: it may act by telling users of the job. Those of the managers
         # of jobs that need it, likewise: they may tell that such a job is queued.
@@ -135,12 +139,38 @@
                 out.append(number)
         return out
 
+    def _is_over(self, entry: Entry) -> bool:
+        """Whether whoever has not applied an entry by now can act no more."""
+        lease_s = self.controller.settings.cluster.workers.lease_s
+        return self.controller.now - entry.since > OVER_LEASES * lease_s
+
+    @property
+    def unconfirmed(self) -> int:
+        """Committed cancels that users may not be told of yet."""
+        return sum(not entry.confirmed for entry in self._entries.values())
+
+    @property
+    def oldest_unconfirmed_s(self) -> float:
+        """For how long the oldest of them has been known."""
+        waiting = [entry.since for entry in self._entries.values() if not entry.confirmed]
+        return self.controller.now - min(waiting) if waiting else 0.0
+
+    def _note(self, what: str, job: str, **facts: object) -> None:
+        self.controller.decisions.note(self.controller.now, Decision.CANCEL, what, job=job, **facts)
+
     def confirmed(self, job: str) -> bool:
         """Whether users may be told that the job is cancelled."""
         e = self._entries.get(job)
         if e is None:
             return False
         if not e.confirmed and self.missing(job) == []:
+            self._note(
+                "confirmed",
+                job,
+                after_s=round(self.controller.now - e.since, 2),
+                by=f"answers {e.applied}" if not self._is_over(e) else "time",
+                view_rev=self.controller.view.rev,
+            )
             self.confirm(job, e.rev)
             for peer in self.controller.settings.others:
                 self.controller.tell(peer.node, "confirmed", [job, e.rev])
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -19,6 +19,7 @@
 from marblestair.core.calls import Commit
 from marblestair.core.cancels import Cancels
 from marblestair.core.completion_records import CompletionRecords
+from marblestair.core.decision_log import Decision, DecisionLog
 from marblestair.core.dispatch import Dispatch
 from marblestair.core.faults import Faults
 from marblestair.core.fleet import Fleet
@@ -68,6 +69,7 @@
         self.notes: list[Note] = []
         self.peer_replies: list[tuple[int, Any]] = []
         self.lines: list[tuple[str, str]] = []
+        self.decisions = DecisionLog(self.log)
         self.view = View()
         self.parts: dict[int, Part] = {}
         self.types: dict[str, MachineType] = {}
@@ -390,7 +392,10 @@
             # Room has come up: fill it with this very answer rather than the next one.
             self.dispatch.fill(part, m)
         if m is not None:
-            orders += part.launches(m, now)
+            launches = part.launches(m, now)
+            self.decisions.count(Decision.STOP, "in an answer", sum(o.op == "stop" for o in orders))
+            self.decisions.count(Decision.LAUNCH, "in an answer", len(launches))
+            orders += launches
         return 200, part.term, orders, None
 
     def _learn(self, part: Part) -> None:
@@ -414,6 +419,7 @@
             p.tick(now)
             self.dispatch.place(p)
             for m, orders in p.direct_stops(now):
+                self.decisions.count(Decision.STOP, "direct", len(orders))
                 self.commands.append(Command(m.addr, p.term, m.session, orders))
             self.fleet.guard_cancels(p)
         self.jobs.tick()
@@ -464,6 +470,14 @@
             "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
             "live_jobs": len(self.view.jobs),
             "refused_commits": self.refused_commits,
+            "decisions": dict(sorted(self.decisions.counts.items())),
+            "cancels_not_confirmed": self.cancels.unconfirmed,
+            "oldest_not_confirmed_s": round(self.cancels.oldest_unconfirmed_s, 1),
+            "changes_in_doubt": sum(not m.is_settled for m in self.jobs.managed.values()),
+            "stops_waiting": sum(p.stops_waiting for p in self.parts.values()),
+            "machines_with_unknown_tasks": sum(
+                len(p.with_unknown_tasks) for p in self.parts.values()
+            ),
             "managed_jobs": len(self.jobs.managed),
             "waiting_jobs": self.pipelines.waiting,
             "waiting": self.pipelines.status(),
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -14,6 +14,7 @@
 from marblestair.core import keys
 from marblestair.core.answers import JobState
 from marblestair.core.calls import ACCEPT, FINAL, PROGRESS, Commit, Put, Sleep, StateResult
+from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Flow, Step
 from marblestair.core.managed import ManagedJob, PartReport
 from marblestair.core.model import CANCEL, JobRecord, cancelled, released
@@ -277,6 +278,16 @@
         commit = self._commit_for(managed, record, step)
         result: StateResult = yield from managed.change(commit)
         if result.status == 200:
+            controller.decisions.note(
+                controller.now,
+                Decision.RECORD,
+                step.name.lower(),
+                job=managed.job,
+                rev=result.rev,
+                read_rev=controller.view.version(keys.JOBS + managed.job),
+                fence_rev=controller.fence(managed.part)[1],
+                awaits=len(record.spec.awaits),
+            )
             if step in FINAL_STATE:
                 controller.pipelines.tell_ended(managed.job, FINAL_STATE[step])
                 controller.answers.final(managed.job, FINAL_STATE[step])
--- a/marblestair/core/part.py
+++ b/marblestair/core/part.py
@@ -107,6 +107,11 @@
             g += m.type.size[1]
         return c, g
 
+    @property
+    def stops_waiting(self) -> int:
+        """Tasks that are to stop and are not known to have ended."""
+        return sum(p.grace is not None for m in self.machines.values() for p in m.placed.values())
+
     def _count(self, p: Placed, sign: int) -> None:
         u = self.used.setdefault(p.team, [0, 0])
         u[0] += sign * p.need[0]
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import itertools
 import random
@@ -110,6 +111,8 @@
         self.frozen: dict[str, float] = {}
         #: called with what a node is about to hand to the network: ``call``, ``answer``, ``reply``
         self.on_point: Callable[[str, str, Any], None] | None = None
+        #: the controllers' log: time, node and line
+        self.log: collections.deque[tuple[float, str, str]] = collections.deque(maxlen=20_000)
         self.drift = {x: 1.0 + self.rng.uniform(-0.0005, 0.0005) for x in self.node_names}
         self._waiters: dict[int, Callable[[Any], None]] = {}
         #: what a controller was asked by another
@@ -235,8 +238,13 @@
             self._answer_peer(name, n, value)
         errors = [t for level, t in core.lines if level == "error"]
         assert not errors, errors
+        self.log += [(self.now, name, text) for _, text in core.lines]
         core.lines = []
 
+    def logged(self, *words: str) -> list[tuple[float, str, str]]:
+        """The lines of the controllers' logs that hold all of some words."""
+        return [line for line in self.log if all(word in line[2] for word in words)]
+
     def _send_commands(self, name: str, commands: list[Command]) -> None:
         for c in commands:
             worker = self.workers.get(c.addr.split(":")[0])
