No waiting job ends before the cancel of an ancestor is confirmed

Cause: the end of a job between a cancelled one and its far descendants was recorded without a confirmation. With the record went the path by which the cancel finds the managers that must have it (Cancels.missing walks the live records), at every node and for good after a restart. The evidence was forgotten while others still relied on it. Now a waiting job ends only once the cancel above it is confirmed; until then the path stays in the records, also for a node that has just started. A user's own cancel of such a job goes on as before.

--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -75,6 +75,11 @@
         """Whether a cancel of the job is committed, by the view or ahead of it."""
         return job in self._entries
 
+    def known_confirmed(self, job: str) -> bool:
+        """Whether a cancel is known to be confirmed, without looking whether it could be now."""
+        entry = self._entries.get(job)
+        return entry is not None and entry.confirmed
+
     def learn(self, job: str, rev: int) -> Entry:
         """A cancel is committed: apply it to all that is held here, now and later."""
         controller = self.controller
@@ -178,7 +183,10 @@
 
     def confirm(self, job: str, rev: int) -> None:
         """A user may be told, here or by another node that has said so."""
-        self.learn(job, rev).confirmed = True
+        entry = self.learn(job, rev)
+        if not entry.confirmed:
+            entry.confirmed = True
+            self.controller.pipelines.confirmed(job)
 
     # --- having it applied -----------------------------------------------------------------
 
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -233,6 +233,8 @@
         """What is to be done for a job that awaits others."""
         pipelines = self._controller.pipelines
         if pipelines.has_cancelled_ancestor(managed.job):
+            if not pipelines.may_end(managed.job):
+                return ManagerStep.CANCEL if managed.want_cancel else None
             # Nobody waits for these ends: only so many at once, behind all else that is written.
             is_full = self._aborting >= self._controller.batch
             return None if is_full and not managed.editing else ManagerStep.ABORT
--- a/marblestair/core/pipelines.py
+++ b/marblestair/core/pipelines.py
@@ -49,6 +49,8 @@
         self._children: dict[str, set[str]] = {}
         #: waiting jobs with a cancelled ancestor
         self._cancelled: set[str] = set()
+        #: those of them whose ends may be recorded, since the cancel is confirmed
+        self._may_end: set[str] = set()
         #: parents whose records are gone and whose final states are not known here
         self._unread: dict[str, None] = {}
 
@@ -63,6 +65,15 @@
         """Whether a waiting job can never start, because a job before it is cancelled."""
         return job in self._cancelled
 
+    def may_end(self, job: str) -> bool:
+        """Whether the end of a waiting job, of which an ancestor is cancelled, may be recorded.
+
+        With its record goes the path from the ancestor to what waits for this job. By that path
+        the cancel finds those who must have it before it is confirmed (`core/cancels.py`), at any
+        node, also at one that has just started. So nothing on it ends before the confirmation.
+        """
+        return job in self._may_end
+
     def is_awaited(self, job: str) -> bool:
         """Whether a waiting job names this one."""
         return job in self._children
@@ -130,30 +141,39 @@
 
     def _add(self, job: str, record: JobRecord) -> None:
         unfinished = self._unfinished[job] = set()
-        is_cancelled = False
+        is_cancelled = is_confirmed = False
         for parent in record.spec.awaits:
             final = self._final(parent)
             if final is JobState.DONE:
                 continue
             unfinished.add(parent)
             self._children.setdefault(parent, set()).add(job)
-            is_cancelled = is_cancelled or final is JobState.CANCELLED or self.is_cancelled(parent)
+            is_over = final is JobState.CANCELLED
+            is_cancelled = is_cancelled or is_over or self.is_cancelled(parent)
+            is_confirmed = is_confirmed or is_over or self._is_confirmed(parent)
             if final is None and parent not in self._controller.view.jobs:
                 self._unread[parent] = None
         if is_cancelled:
-            self._cancel_with_descendants(job)
+            self._mark_with_descendants(job, self._cancelled)
+        if is_confirmed:
+            self._mark_with_descendants(job, self._may_end)
         self._controller.urgency.child_changed(unfinished)
 
     def is_cancelled(self, job: str) -> bool:
         """Whether a live job is cancelled, or is going to be with an ancestor."""
         return self._controller.cancels.known(job) or job in self._cancelled
 
+    def _is_confirmed(self, job: str) -> bool:
+        """Whether the cancel of a live job, or of an ancestor, is confirmed as far as is known."""
+        return self._controller.cancels.known_confirmed(job) or job in self._may_end
+
     def _remove(self, job: str) -> None:
         """A job waits no more: it is released or over."""
         unfinished = self._unfinished.pop(job)
         for parent in unfinished:
             self._forget_child(parent, job)
         self._cancelled.discard(job)
+        self._may_end.discard(job)
         self._controller.urgency.child_changed(unfinished)
 
     def _forget_child(self, parent: str, job: str) -> None:
@@ -173,7 +193,9 @@
         if parent not in self._children:
             return
         if state is JobState.CANCELLED:
+            # No cancelled job ends before its cancel, or that of an ancestor, is confirmed.
             self.cancelled(parent)
+            self.confirmed(parent)
             return
         for job in sorted(self._children.pop(parent)):
             self._unfinished[job].discard(parent)
@@ -183,12 +205,17 @@
     def cancelled(self, parent: str) -> None:
         """The cancel of a job is known to be committed."""
         for job in sorted(self._children.get(parent, ())):
-            self._cancel_with_descendants(job)
+            self._mark_with_descendants(job, self._cancelled)
+
+    def confirmed(self, parent: str) -> None:
+        """The cancel of a job is confirmed: the managers of all its live descendants have it."""
+        for job in sorted(self._children.get(parent, ())):
+            self._mark_with_descendants(job, self._may_end)
 
-    def _cancel_with_descendants(self, job: str) -> None:
+    def _mark_with_descendants(self, job: str, marked: set[str]) -> None:
         for waiting in (job, *self.descendants(job)):
-            if waiting not in self._cancelled:
-                self._cancelled.add(waiting)
+            if waiting not in marked:
+                marked.add(waiting)
                 self._controller.jobs.advance(waiting)
 
     def tell_ended(self, job: str, state: JobState) -> None:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -693,7 +693,8 @@
     return chain
 
 
-def test_a_far_descendant_is_not_called_queued_once_the_job_between_is_over() -> None:
+@pytest.mark.parametrize("falls", ["", "n0", "n1"])
+def test_a_far_descendant_is_not_called_queued_once_the_job_between_is_over(falls: str) -> None:
     """The manager of a grandchild loses its peers and the state service during a cancel.
 
     It acts on promises afterwards. The job between ends first, and its record with it; the cancel
@@ -706,7 +707,12 @@
     w.state.refused_nodes.add("n2")
     w.cancel_asked.add(chain[0].id)
     w.ask("n0", "cancel", chain[0].id)
-    w.run(2.2)
+    w.run(0.25)
+    if falls:
+        w.kill(falls, 0.1)
+    for _ in range(5):
+        w.run(0.4)
+        w.ask("n0", "cancel", chain[0].id)
     w.state.outage(True, w.now)
     w.heal()
     poll_all(w, chain[2:], 2.0 * w.cancel_s)
