--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -721,3 +721,52 @@
     assert w.cancel(chain[0].id) == "cancelled"
     assert all_cancelled(w, chain, w.cancel_s)
     assert w.broken == []
+
+
+def cancelled_with_ends_held_back(w: World) -> tuple[JobSpec, str]:
+    """A child whose end cannot be written for longer than cancel_s, and a node not its manager."""
+    parent = spec(1, tasks=1, estimate_s=100.0)
+    child = spec(2, awaits=[parent.id])
+    w.submit(parent)
+    w.submit(child)
+    w.run(1.0)
+    other = next(name for name in w.node_names if name != manager(w, child.id))
+    hold_ends_back(w)
+    assert w.cancel(parent.id) == "cancelled"
+    w.run(1.2 * w.cancel_s)
+    assert keys.JOBS + child.id in w.state.data
+    return child, other
+
+
+def test_a_read_that_the_end_of_a_waiting_job_overtakes_does_not_call_it_queued() -> None:
+    """What the read found is older than the view by the time at which it arrives."""
+    w = warm()
+    child, other = cancelled_with_ends_held_back(w)
+    w.lost |= {"query", "ended"}
+    w.answer_late = lambda node, call: (
+        0.9
+        if node == other and isinstance(call, Get) and call.key == keys.JOBS + child.id
+        else None
+    )
+    w.late = lambda _node, _commit: None
+    for _ in range(20):
+        w.ask(other, "query", child.id)
+        w.run(0.1)
+    w.run(2.0)
+    assert keys.JOBS + child.id not in w.state.data
+    w.answer_late = lambda _node, _call: None
+    assert w.state_of(child.id, other) == "cancelled"
+    assert w.broken == []
+
+
+def test_what_waits_for_a_cancelled_job_is_told_so_before_its_end_is_written() -> None:
+    w = warm()
+    child, _ = cancelled_with_ends_held_back(w)
+    for name in w.node_names:
+        assert w.state_of(child.id, name) == "cancelled"
+    assert w.cancel(child.id) == "cancelled"
+    for name in w.node_names:
+        w.kill(name, 0.5)
+    w.run(12.0)
+    assert w.until(lambda: w.state_of(child.id) == "cancelled", 20.0)
+    assert w.broken == []
