Nobody calls a waiting job queued by a read that is older than the view, or for want of a write

Cause: the proof of 'queued' covered the job's own record, not the ends of its ancestors on which it rests as well. By a fresh read that check was left out when the view no longer held the record, because the job's end had overtaken the read; an answer of another node was passed on although this node knew better; and an ancestor found alive hid one before it that was over. Now the one place that every answer passes refuses what waits for a cancelled job, a read that the end has overtaken reads the final state instead, and the search goes on until no ancestor is open.

--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -111,6 +111,9 @@
             return JobStatus(self.finals[job])
         if self.controller.cancels.known(job):
             return JobStatus(JobState.CANCELLED) if self.controller.cancels.confirmed(job) else None
+        if self.controller.pipelines.has_cancelled_ancestor(job):
+            # Whatever was found, here or by another node, rests on an older view than this one.
+            found = None
         decisions = self.controller.decisions
         if found is None:
             decisions.count(Decision.ANSWER, "refused: no proof")
@@ -131,18 +134,13 @@
         if not managed.is_settled:
             # The end may be committed already, and others may have told it.
             return None
-        if record.is_waiting and not self._may_wait(job):
+        if record.is_waiting and not controller.pipelines.knows_ancestors(job):
             return None
         done = min(managed.tasks_done, record.spec.tasks)
         running = managed.tasks_running
         state = JobState.RUNNING if running or done else JobState.QUEUED
         return ProvenStatus(JobStatus(state, done, running), Proof.MANAGER)
 
-    def _may_wait(self, job: str) -> bool:
-        """Whether this node knows enough to tell of a job that it waits for others."""
-        pipelines = self.controller.pipelines
-        return pipelines.knows_ancestors(job) and not pipelines.has_cancelled_ancestor(job)
-
     def lookup(self, job: str) -> Step:
         """The status of any job: UNKNOWN, or None when it cannot be told now."""
         local = self.local(job)
@@ -182,12 +180,19 @@
         found = yield from self.read(job, lane)
         if found is None or found == UNKNOWN:
             return found
+        if job in self.finals:
+            return self.may_tell(job, None)
         if found.state is JobState.CANCELLED and not controller.cancels.known(job):
             # The record was read before the job ended, and the view is past its end: its entry
             # is forgotten, and its final state is not read yet.
             return self.may_tell(job, None)
         record = controller.view.jobs.get(job)
-        if record is not None and record.is_waiting:
+        if record is None:
+            # The view is past the end of the job: what was read is no proof, least of all that no
+            # ancestor is cancelled. The final state is committed.
+            yield from self._read_final(job, lane)
+            return self.may_tell(job, None)
+        if record.is_waiting:
             if not (yield from controller.pipelines.may_tell_waiting(record, lane)):
                 return self.may_tell(job, None)
         managed = controller.jobs.managed.get(job)
@@ -216,11 +221,15 @@
         controller.sync()
         # In this order: a job that ends between the two reads moves from the first key to the
         # second.
-        f: StateResult = yield Get(keys.FINALS + job, lane)
-        if f.status == 200 and f.value in FINAL_STATES:
-            self.final(job, JobState(f.value))
-            return JobStatus(JobState(f.value))
-        return UNKNOWN if f.status == 404 else None
+        return (yield from self._read_final(job, lane))
+
+    def _read_final(self, job: str, lane: int) -> Step:
+        """Read a job's final state; UNKNOWN if it has none, None when it could not be read."""
+        got: StateResult = yield Get(keys.FINALS + job, lane)
+        if got.status == 200 and got.value in FINAL_STATES:
+            self.final(job, JobState(got.value))
+            return JobStatus(JobState(got.value))
+        return UNKNOWN if got.status == 404 else None
 
     def find_final(self, job: str, lane: int) -> Step:
         """Look first for a job's final state, then for its record, by fresh reads.
@@ -229,12 +238,9 @@
         """
         if self.controller.cut_off():
             return None
-        got: StateResult = yield Get(keys.FINALS + job, lane)
-        if got.status == 200 and got.value in FINAL_STATES:
-            self.final(job, JobState(got.value))
-            return JobStatus(JobState(got.value))
-        if got.status != 404:
-            return None
+        final = yield from self._read_final(job, lane)
+        if final != UNKNOWN:
+            return final
         # Between the two reads it may have ended: the next one looks for both, in that order.
         return (yield from self.read(job, lane))
 
--- a/marblestair/core/jobs.py
+++ b/marblestair/core/jobs.py
@@ -321,7 +321,8 @@
         if step is ManagerStep.RELEASE:
             return Commit(guards, [Put(key, released(record, controller.wall))], [], FINAL)
         final_key = keys.FINALS + managed.job
-        lane = PROGRESS if step is ManagerStep.ABORT else FINAL
+        is_patient = step is ManagerStep.ABORT and not controller.pipelines.must_end(managed.job)
+        lane = PROGRESS if is_patient else FINAL
         return Commit([*guards, (final_key, 0)], [Put(final_key, FINAL_STATE[step])], [key], lane)
 
     # --- records ahead of the watch -------------------------------------------------------------
--- a/marblestair/core/pipelines.py
+++ b/marblestair/core/pipelines.py
@@ -30,6 +30,8 @@
 
 #: pause between two looks for parents whose end has to be read
 READ_PAUSE_S = 0.3
+#: share of ``cancel_s`` for which the end of a descendant lets everything else be written first
+PATIENCE = 0.2
 #: parents read in one turn, so that releases never use up the rate of requests
 MOST_READS = 8
 #: parents of one job read for a user who waits
@@ -49,8 +51,9 @@
         self._children: dict[str, set[str]] = {}
         #: waiting jobs with a cancelled ancestor
         self._cancelled: set[str] = set()
-        #: those of them whose ends may be recorded, since the cancel is confirmed
-        self._may_end: set[str] = set()
+        #: those of them whose ends may be recorded, and since when that is known here: the cancel
+        #: is confirmed
+        self._may_end: dict[str, float] = {}
         #: parents whose records are gone and whose final states are not known here
         self._unread: dict[str, None] = {}
 
@@ -74,6 +77,15 @@
         """
         return job in self._may_end
 
+    def must_end(self, job: str) -> bool:
+        """Whether the end of a waiting job has been due for so long that it must not be late.
+
+        Users are to be told within ``cancel_s``, however much else there is to write.
+        """
+        since = self._may_end.get(job)
+        cancel_s = self._controller.settings.cluster.workers.cancel_s
+        return since is not None and self._controller.now - since > PATIENCE * cancel_s
+
     def is_awaited(self, job: str) -> bool:
         """Whether a waiting job names this one."""
         return job in self._children
@@ -154,9 +166,9 @@
             if final is None and parent not in self._controller.view.jobs:
                 self._unread[parent] = None
         if is_cancelled:
-            self._mark_with_descendants(job, self._cancelled)
+            self._mark_cancelled(job)
         if is_confirmed:
-            self._mark_with_descendants(job, self._may_end)
+            self._mark_confirmed(job)
         self._controller.urgency.child_changed(unfinished)
 
     def is_cancelled(self, job: str) -> bool:
@@ -173,7 +185,7 @@
         for parent in unfinished:
             self._forget_child(parent, job)
         self._cancelled.discard(job)
-        self._may_end.discard(job)
+        self._may_end.pop(job, None)
         self._controller.urgency.child_changed(unfinished)
 
     def _forget_child(self, parent: str, job: str) -> None:
@@ -205,17 +217,20 @@
     def cancelled(self, parent: str) -> None:
         """The cancel of a job is known to be committed."""
         for job in sorted(self._children.get(parent, ())):
-            self._mark_with_descendants(job, self._cancelled)
+            self._mark_cancelled(job)
 
     def confirmed(self, parent: str) -> None:
         """The cancel of a job is confirmed: the managers of all its live descendants have it."""
         for job in sorted(self._children.get(parent, ())):
-            self._mark_with_descendants(job, self._may_end)
+            self._mark_confirmed(job)
 
-    def _mark_with_descendants(self, job: str, marked: set[str]) -> None:
+    def _mark_cancelled(self, job: str) -> None:
+        self._cancelled.update((job, *self.descendants(job)))
+
+    def _mark_confirmed(self, job: str) -> None:
         for waiting in (job, *self.descendants(job)):
-            if waiting not in marked:
-                marked.add(waiting)
+            if waiting not in self._may_end:
+                self._may_end[waiting] = self._controller.now
                 self._controller.jobs.advance(waiting)
 
     def tell_ended(self, job: str, state: JobState) -> None:
@@ -263,13 +278,13 @@
         lease_s = controller.settings.cluster.workers.lease_s
         if controller.now - controller.view.fresh_at > lease_s:
             return False
-        gone = self._gone_ancestors(job)
-        if len(gone) > MOST_READS_FOR_USER:
-            return False
-        for ancestor in gone:
-            if (yield from controller.answers.find_final(ancestor, lane)) is None:
-                return False
-        return not self.has_cancelled_ancestor(job)
+        # One that is found alive may have ancestors that are gone in their turn.
+        for _ in range(MOST_READS_FOR_USER):
+            gone = self._gone_ancestors(job)
+            if not gone:
+                return not self.has_cancelled_ancestor(job)
+            yield from controller.answers.find_final(gone[0], lane)
+        return not self._gone_ancestors(job) and not self.has_cancelled_ancestor(job)
 
     def knows_ancestors(self, job: str) -> bool:
         """Whether this node would know if an ancestor of a waiting job had been cancelled.
