What waits for a cancelled job is told so before its end is written, once nobody can deny it

The two tests that expected no answer at all in that time now expect refusals at first, 'cancelled' in the end and never 'queued', and are stricter by that. New: it is told although the end cannot be written, also after all nodes restarted; and it is not told while a view that lags may still prove 'queued' by a read. With the wait taken out, or with no answer at all, a test fails.

--- a/marblestair/core/answers.py
+++ b/marblestair/core/answers.py
@@ -111,7 +111,10 @@
             return JobStatus(self.finals[job])
         if self.controller.cancels.known(job):
             return JobStatus(JobState.CANCELLED) if self.controller.cancels.confirmed(job) else None
-        if self.controller.pipelines.has_cancelled_ancestor(job):
+        pipelines = self.controller.pipelines
+        if pipelines.has_cancelled_ancestor(job):
+            if pipelines.may_be_told_cancelled(job):
+                return JobStatus(JobState.CANCELLED)
             # Whatever was found, here or by another node, rests on an older view than this one.
             found = None
         decisions = self.controller.decisions
--- a/marblestair/core/pipelines.py
+++ b/marblestair/core/pipelines.py
@@ -22,6 +22,7 @@
 from marblestair.core import keys
 from marblestair.core.answers import FINAL_STATES, JobState
 from marblestair.core.calls import FINAL, Sleep
+from marblestair.core.cancels import OVER_LEASES
 from marblestair.core.flow import Flow, Step
 from marblestair.core.model import JobRecord
 
@@ -86,6 +87,17 @@
         cancel_s = self._controller.settings.cluster.workers.cancel_s
         return since is not None and self._controller.now - since > PATIENCE * cancel_s
 
+    def may_be_told_cancelled(self, job: str) -> bool:
+        """Whether users may be told that a waiting job is cancelled, before its end is written.
+
+        Its manager knows, since the cancel above it is confirmed. Another node proves "queued" by
+        a read only with a view younger than a worker's lease: after that time every such view
+        holds the cancel too, so nobody can tell another thing any more.
+        """
+        since = self._may_end.get(job)
+        lease_s = self._controller.settings.cluster.workers.lease_s
+        return since is not None and self._controller.now - since > OVER_LEASES * lease_s
+
     def is_awaited(self, job: str) -> bool:
         """Whether a waiting job names this one."""
         return job in self._children
--- a/marblestair/core/requests.py
+++ b/marblestair/core/requests.py
@@ -73,6 +73,9 @@
     def _cancel_live(self, job: str) -> Step:
         """Have a job cancelled whose record is in the view: its final state, or None for now."""
         controller = self._controller
+        known: JobStatus | None = controller.answers.may_tell(job, None)
+        if known is not None:
+            return known.state
         owner = controller.owner(controller.view.jobs[job].manager)
         answer: Any = None
         if owner == controller.node:
