--- a/marblestair/core/authority.py
+++ b/marblestair/core/authority.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -20,7 +20,6 @@
     LeaseGrant,
     LeaseRenew,
     ListKeys,
-    PeerCall,
     Put,
     Sleep,
     StateResult,
@@ -29,6 +28,7 @@
 from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Flow, Step
 from marblestair.core.part import DRIFT, Part
+from marblestair.core.promises import Promises
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -43,6 +43,8 @@
 WATCH_SHARE = 0.2
 #: a node's leases within which a part of a node that fell has a new owner, as a rule
 TAKEOVER_LEASES = 1.6
+#: share of a lease after which a renewal that has not succeeded is overdue
+OVERDUE = 0.3
 #: a node must have been seen this many leases before it is given a part back
 SETTLE = 1.5
 
@@ -85,10 +87,7 @@
         self.seen_since: dict[str, tuple[int, float]] = {}
         self._last_given = -1e9
         self._pause = 1.0
-        #: promises given: node -> until when its parts are not taken
-        self.promised: dict[str, float] = {}
-        #: promises held from all the others: until when they stand in for the lease
-        self.trusted_until = -1e9
+        self.promises = Promises(controller, self)
         #: when a renewal last succeeded, and whether the latest one did
         self.renewed = -1e9
         self.failing = False
@@ -106,7 +105,7 @@
         controller = self.controller
         if controller.view.rev < self.key_rev:
             return False
-        if now < self.trusted_until:
+        if self.promises.hold(now):
             return True
         return (
             now < self.until
@@ -127,7 +126,7 @@
             Decision.AUTHORITY,
             basis,
             lease_left_s=round(self.until - now, 2),
-            promises_left_s=round(self.trusted_until - now, 2),
+            promises_left_s=round(self.promises.held_until - now, 2),
             view_age_s=round(now - view.fresh_at, 2),
             view_rev=view.rev,
             parts={number: part.term for number, part in self.controller.parts.items()},
@@ -153,7 +152,7 @@
         self.booted = True
         self.controller.runner.keep(self._follow)
         self.controller.runner.keep(self._keep_lease)
-        self.controller.runner.keep(self._keep_promises)
+        self.controller.runner.keep(self.promises.keep)
 
     def _load(self) -> Step:
         """Read all that is followed, for as long as it takes."""
@@ -285,81 +284,22 @@
         controller.sync()
         return True
 
-    # --- promises --------------------------------------------------------------------------
-
-    def _keep_promises(self) -> Flow:
-        """While the lease cannot be renewed, ask all the others not to take this node's parts.
-
-        Only promises of every other node let this one act beyond its lease, and only without a
-        gap: a node that can still take over gives none, and one that does not answer gives none.
-        """
-        controller = self.controller
-        while True:
-            yield Sleep(self.ttl / 8)
-            now = controller.now
-            failing = self.failing and now - self.renewed > 0.3 * self.ttl
-            if not failing or not controller.parts or not self.holds(now):
-                continue
-            if self.trusted_until - now > 0.6 * self.ttl or not controller.settings.others:
-                continue
-            for p in controller.settings.others:
-                ask = [controller.node, controller.incarnation, controller.view.rev]
-                got = yield PeerCall(p.node, "promise", ask, 0.5)
-                if not isinstance(got, list):
-                    break
-                for job, rev in got:
-                    controller.cancels.learn(str(job), int(rev))
-            else:
-                if self.holds(controller.now):
-                    before = self.trusted_until
-                    until = now + self.ttl * (1 - DRIFT) - 0.05
-                    self.trusted_until = max(before, until)
-                    if before < now:
-                        controller.log(
-                            "info", "the state service is out of reach: acting on promises"
-                        )
-
-    def promise(self, node: str, incarnation: int, rev: int) -> list[list[Any]] | None:
-        """Promise not to take a node's parts for a lease's time, unless this node might.
-
-        With the promise go the cancels that a view of the asker's revision may lack; it counts
-        the promise only after it has applied them. So an owner that acts on promises has applied
-        each cancel that any other node can have confirmed. None: no promise.
-        """
-        controller = self.controller
-        s = controller.view.split
-        now = controller.now
-        if s is None or not self.booted or not self.failing or self._taking:
-            return None
-        if self._take_doubt == controller.view.version(keys.SPLIT):
-            # A takeover was sent and may yet be carried out.
-            return None
-        if controller.view.nodes.get(node) != incarnation:
-            return None
-        entries = controller.cancels.later_than(rev)
-        if entries is not None:
-            self.promised[node] = now + self.ttl
-            controller.decisions.note(
-                now,
-                Decision.PROMISE,
-                "given",
-                to=node,
-                asker_rev=rev,
-                view_rev=controller.view.rev,
-                cancels=len(entries),
-            )
-        return entries
-
-    def bound(self, node: str, now: float) -> bool:
-        """Whether a node may be acting on a promise given here, also before a restart."""
-        return now < self.promised.get(node, -1e9) or now - self.controller.started < self.ttl
-
     def _extend(self, sent: float) -> None:
         self.renewed = sent
         self.until = max(self.until, sent + self.ttl * (1 - DRIFT) - 0.05)
 
     # --- ownership -------------------------------------------------------------------------
 
+    @property
+    def may_be_taking(self) -> bool:
+        """Whether a takeover by this node is under way, or was sent and may yet be carried out."""
+        return self._taking or self._take_doubt == self.controller.view.version(keys.SPLIT)
+
+    @property
+    def renewal_overdue(self) -> bool:
+        """Whether the lease could not be renewed when it should have been."""
+        return self.failing and self.controller.now - self.renewed > OVERDUE * self.ttl
+
     def tick(self, now: float) -> None:
         """Take what is orphaned, give back what is too much."""
         controller = self.controller
@@ -402,7 +342,7 @@
         if part.owner and controller.view.nodes.get(part.owner) == part.incarnation:
             self._absent.pop(number, None)
             return False
-        if part.owner and self.bound(part.owner, now):
+        if part.owner and self.promises.bind(part.owner, now):
             return False
         since = self._absent.setdefault(number, now)
         wait = 0.35 * held + 0.15 * controller.rng.random()
--- a/marblestair/core/cancels.py
+++ b/marblestair/core/cancels.py
@@ -23,7 +23,8 @@
 from marblestair.core.calls import ACCEPT, Commit, PeerCall, Put, Sleep, StateResult
 from marblestair.core.decision_log import Decision
 from marblestair.core.flow import Flow, Step
-from marblestair.core.model import cancelled
+from marblestair.core.model import JobRecord, cancelled
+from marblestair.core.split import PartRecord
 
 if TYPE_CHECKING:
     from marblestair.core.controller import Controller
@@ -83,21 +84,21 @@
     def learn(self, job: str, rev: int) -> Entry:
         """A cancel is committed: apply it to all that is held here, now and later."""
         controller = self.controller
-        e = self._entries.get(job)
-        if e is None:
-            e = self._entries[job] = Entry(rev, controller.now)
+        entry = self._entries.get(job)
+        if entry is None:
+            entry = self._entries[job] = Entry(rev, controller.now)
             self._note("known", job, rev=rev, view_rev=controller.view.rev)
-            for p in controller.parts.values():
-                p.cancel(job, controller.now)
+            for part in controller.parts.values():
+                part.cancel(job, controller.now)
             controller.pipelines.cancelled(job)
-        return e
+        return entry
 
     def changed(self, job: str) -> None:
         """A job's record changed in the view."""
         record = self.controller.view.jobs.get(job)
         if record is None:
-            e = self._entries.get(job)
-            if e is not None and self.controller.view.rev >= e.rev:
+            entry = self._entries.get(job)
+            if entry is not None and self.controller.view.rev >= entry.rev:
                 # Buried; its final state tells the rest.
                 self._note("forgotten", job, view_rev=self.controller.view.rev)
                 del self._entries[job]
@@ -107,7 +108,7 @@
     def prune(self) -> None:
         """Forget entries of jobs that are over, which came late or ahead of the view."""
         controller = self.controller
-        for job in [j for j, e in self._entries.items() if e.rev <= controller.view.rev]:
+        for job in [j for j, entry in self._entries.items() if entry.rev <= controller.view.rev]:
             if job not in controller.view.jobs:
                 self._note("forgotten", job, view_rev=controller.view.rev)
                 del self._entries[job]
@@ -120,29 +121,37 @@
         None when that cannot be told, because owners may have changed before the entry was
         committed and are not in the view yet.
         """
-        controller = self.controller
-        e, record, s = self._entries.get(job), controller.view.jobs.get(job), controller.view.split
-        if e is None or record is None or s is None or controller.view.rev < e.rev:
+        view = self.controller.view
+        entry = self._entries.get(job)
+        record = view.jobs.get(job)
+        if entry is None or record is None or view.split is None or view.rev < entry.rev:
             return None
-        over = self._is_over(e)
-        out = []
-        # The manager's owner, too: it may act by telling users of the job. Those of the managers
-        # of jobs that need it, likewise: they may tell that such a job is queued.
+        if self._is_over(entry):
+            return []
+        return [
+            number
+            for number in sorted(self._concerned_parts(job, record))
+            if not self._has_entry(number, view.split.parts[number], entry)
+        ]
+
+    def _concerned_parts(self, job: str, record: JobRecord) -> set[int]:
+        """Parts whose owners may act for the job or tell of it, or of what needs it.
+
+        Its slices' owners may start its tasks, its manager's owner may tell that it runs, and the
+        managers' owners of its descendants that those are queued.
+        """
         numbers = {record.manager, *map(int, record.slices)}
-        for descendant in controller.pipelines.descendants(job):
+        for descendant in self.controller.pipelines.descendants(job):
             # One that is over, though the index does not show it yet, is told of by nobody.
-            live = controller.view.jobs.get(descendant)
+            live = self.controller.view.jobs.get(descendant)
             if live is not None:
                 numbers.add(live.manager)
-        for number in sorted(numbers):
-            part = s.parts[number]
-            if (part.owner, part.incarnation) == controller.me or e.applied.get(
-                number
-            ) == part.term:
-                continue
-            if not over:
-                out.append(number)
-        return out
+        return numbers
+
+    def _has_entry(self, number: int, part: PartRecord, entry: Entry) -> bool:
+        """Whether a part's present owner is known to have applied an entry."""
+        is_here = (part.owner, part.incarnation) == self.controller.me
+        return is_here or entry.applied.get(number) == part.term
 
     def _is_over(self, entry: Entry) -> bool:
         """Whether whoever has not applied an entry by now can act no more."""
@@ -165,21 +174,21 @@
 
     def confirmed(self, job: str) -> bool:
         """Whether users may be told that the job is cancelled."""
-        e = self._entries.get(job)
-        if e is None:
+        entry = self._entries.get(job)
+        if entry is None:
             return False
-        if not e.confirmed and self.missing(job) == []:
+        if not entry.confirmed and self.missing(job) == []:
             self._note(
                 "confirmed",
                 job,
-                after_s=round(self.controller.now - e.since, 2),
-                by=f"answers {e.applied}" if not self._is_over(e) else "time",
+                after_s=round(self.controller.now - entry.since, 2),
+                by=f"answers {entry.applied}" if not self._is_over(entry) else "time",
                 view_rev=self.controller.view.rev,
             )
-            self.confirm(job, e.rev)
+            self.confirm(job, entry.rev)
             for peer in self.controller.settings.others:
-                self.controller.tell(peer.node, "confirmed", [job, e.rev])
-        return e.confirmed
+                self.controller.tell(peer.node, "confirmed", [job, entry.rev])
+        return entry.confirmed
 
     def confirm(self, job: str, rev: int) -> None:
         """A user may be told, here or by another node that has said so."""
@@ -202,21 +211,21 @@
         cancel is confirmed.
         """
         controller = self.controller
-        s, e = controller.view.split, self._entries.get(job)
+        s, entry = controller.view.split, self._entries.get(job)
         nodes: dict[str, None] = {}
         for p in self.missing(job) or ():
             if s is not None:
                 nodes[s.parts[p].owner] = None
         for node in sorted(nodes, key=lambda n: (-controller.heard.get(n, -1e9), n)):
             if (
-                e is None
+                entry is None
                 or node == controller.node
                 or controller.now - controller.heard.get(node, -1e9) > heard_s
             ):
                 continue
-            got = yield PeerCall(node, "apply", [job, e.rev], APPLY_PEER_S)
+            got = yield PeerCall(node, "apply", [job, entry.rev], APPLY_PEER_S)
             for pair in got if isinstance(got, list) else ():
-                e.applied[int(pair[0])] = int(pair[1])
+                entry.applied[int(pair[0])] = int(pair[1])
         return self.confirmed(job)
 
     def settle(self, job: str, most_s: float) -> Step:
@@ -235,26 +244,28 @@
 
     def carry(self, job: str) -> None:
         """Go on with it while nobody waits, for a bounded time."""
-        e = self._entries.get(job)
-        if e is None or e.confirmed or e.carried:
+        entry = self._entries.get(job)
+        if entry is None or entry.confirmed or entry.carried:
             return
         managed = self.controller.jobs.managed.get(job)
         if managed is not None and managed.editing:
             return
         if sum(x.carried for x in self._entries.values()) < MOST_CARRIED:
-            e.carried = True
-            self.controller.spawn(self._carry(job, e))
+            entry.carried = True
+            self.controller.spawn(self._carry(job, entry))
 
-    def _carry(self, job: str, e: Entry) -> Flow:
+    def _carry(self, job: str, entry: Entry) -> Flow:
         controller = self.controller
         until = controller.now + CARRY_LEASES * controller.settings.cluster.workers.lease_s
         try:
-            while self._entries.get(job) is e and controller.now < until and not e.confirmed:
+            while (
+                self._entries.get(job) is entry and controller.now < until and not entry.confirmed
+            ):
                 if (yield from self.ask(job)):
                     return
                 yield Sleep(0.5)
         finally:
-            e.carried = False
+            entry.carried = False
 
     def enter(self, job: str) -> Step:
         """Commit the entry by way of the record, where the manager is not heard.
@@ -280,5 +291,7 @@
 
     def later_than(self, rev: int) -> list[list[Any]] | None:
         """Entries that a view of some revision may lack; None when they are too many."""
-        out: list[list[Any]] = [[j, e.rev] for j, e in self._entries.items() if e.rev > rev]
+        out: list[list[Any]] = [
+            [j, entry.rev] for j, entry in self._entries.items() if entry.rev > rev
+        ]
         return out if len(out) <= MOST_ENTRIES else None
--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -466,7 +466,7 @@
             "node": self.node,
             "acts_for": [p.number for p in self.acting()],
             "lease_s_left": round(max(0.0, self.authority.until - self.now), 1),
-            "on_promises": self.now < self.authority.trusted_until,
+            "on_promises": self.authority.promises.hold(self.now),
             "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
             "live_jobs": len(self.view.jobs),
             "refused_commits": self.refused_commits,
@@ -532,7 +532,7 @@
             elif tag == "status":
                 answer = self.status()
             elif tag == "promise":
-                answer = self.authority.promise(str(args[0]), int(args[1]), int(args[2]))
+                answer = self.authority.promises.give(str(args[0]), int(args[1]), int(args[2]))
             elif tag == "arrive":
                 answer = yield from self.jobs.arrive(str(args[0]), int(args[1]))
             elif tag == "entries":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -318,7 +318,7 @@
     w.run(10.0)
     w.state.outage(True, w.now)
     assert w.until(
-        lambda: all(c is not None and c.authority.trusted_until > c.now for c in w.cores.values()),
+        lambda: all(c is not None and c.authority.promises.hold(c.now) for c in w.cores.values()),
         10.0,
     )
     # n0 goes on acting on its promises; the others get the state service back, and one of them
