--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -30,13 +30,14 @@
 from marblestair.core.messages import Command, Note, PartSummary, Reply
 from marblestair.core.migrate import Migrations
 from marblestair.core.migration_locks import MigrationLocks
-from marblestair.core.model import UNIT, MachineType, Order, Report
+from marblestair.core.model import MachineType, Order, Report
 from marblestair.core.part import Part
 from marblestair.core.pipelines import Pipelines
 from marblestair.core.preempt import Preemption
 from marblestair.core.requests import Requests
 from marblestair.core.share_moves import ShareMoves
 from marblestair.core.shares import within_guarantee
+from marblestair.core.status import status
 from marblestair.core.summary import summarise
 from marblestair.core.takeover import rebuild
 from marblestair.core.urgency import Urgency
@@ -445,46 +446,6 @@
         for peer in self.settings.others:
             self.tell(peer.node, "summaries", args)
 
-    def status(self) -> dict[str, Any]:
-        """What this node sees and does, for operators."""
-        split = self.view.split
-        parts = []
-        for i, record in enumerate(split.parts if split is not None else []):
-            heard, g = self.summaries.get(i, (None, None))
-            parts.append(
-                {
-                    "part": i,
-                    "owner": record.owner,
-                    "term": record.term,
-                    "shares_cpus": {t: x[0] / UNIT for t, x in record.shares.items()},
-                    "backlog_cpus": g.backlog / UNIT if g is not None else None,
-                    "told_s_ago": round(self.now - heard, 1) if heard is not None else None,
-                    "machines": sum(m.part == i for m in self.view.machines.values()),
-                }
-            )
-        return {
-            "node": self.node,
-            "acts_for": [p.number for p in self.acting()],
-            "lease_s_left": round(max(0.0, self.authority.until - self.now), 1),
-            "on_promises": self.authority.promises.hold(self.now),
-            "view_s_old": round(min(1e6, self.now - self.view.fresh_at), 1),
-            "live_jobs": len(self.view.jobs),
-            "refused_commits": self.refused_commits,
-            "decisions": dict(sorted(self.decisions.counts.items())),
-            "cancels_not_confirmed": self.cancels.unconfirmed,
-            "oldest_not_confirmed_s": round(self.cancels.oldest_unconfirmed_s, 1),
-            "changes_in_doubt": sum(not m.is_settled for m in self.jobs.managed.values()),
-            "stops_waiting": sum(p.stops_waiting for p in self.parts.values()),
-            "machines_with_unknown_tasks": sum(
-                len(p.with_unknown_tasks) for p in self.parts.values()
-            ),
-            "managed_jobs": len(self.jobs.managed),
-            "waiting_jobs": self.pipelines.waiting,
-            "waiting": self.pipelines.status(),
-            "migrations": self.migrations.done,
-            "parts": parts,
-        }
-
     # --- peers -----------------------------------------------------------------------------
 
     def note(self, node: str, tag: str, args: list[Any]) -> None:
@@ -530,7 +491,7 @@
             elif tag in ("lock", "update", "release"):
                 answer = yield from self.migration_locks.answer(tag, args)
             elif tag == "status":
-                answer = self.status()
+                answer = status(self)
             elif tag == "promise":
                 answer = self.authority.promises.give(str(args[0]), int(args[1]), int(args[2]))
             elif tag == "arrive":
--- /dev/null
+++ b/marblestair/core/status.py
@@ -0,0 +1,80 @@
+"""What a controller shows to operators: leadership, jobs, decisions and what waits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from marblestair.core.model import UNIT
+
+if TYPE_CHECKING:
+    from marblestair.core.controller import Controller
+
+#: age shown of a view that was never filled
+MOST_AGE_S = 1e6
+
+
+def status(controller: Controller) -> dict[str, Any]:
+    """What a node sees and does, for operators."""
+    return {
+        **_leadership(controller),
+        **_jobs(controller),
+        **_waiting(controller),
+        "decisions": dict(sorted(controller.decisions.counts.items())),
+        "parts": _parts(controller),
+    }
+
+
+def _leadership(controller: Controller) -> dict[str, Any]:
+    now = controller.now
+    authority = controller.authority
+    return {
+        "node": controller.node,
+        "acts_for": [part.number for part in controller.acting()],
+        "lease_s_left": round(max(0.0, authority.until - now), 1),
+        "on_promises": authority.promises.hold(now),
+        "view_s_old": round(min(MOST_AGE_S, now - controller.view.fresh_at), 1),
+    }
+
+
+def _jobs(controller: Controller) -> dict[str, Any]:
+    return {
+        "live_jobs": len(controller.view.jobs),
+        "managed_jobs": len(controller.jobs.managed),
+        "waiting_jobs": controller.pipelines.waiting,
+        "waiting": controller.pipelines.status(),
+        "migrations": controller.migrations.done,
+        "refused_commits": controller.refused_commits,
+    }
+
+
+def _waiting(controller: Controller) -> dict[str, Any]:
+    """What is under way, and for how long it has been."""
+    parts = controller.parts.values()
+    managed = controller.jobs.managed.values()
+    return {
+        "cancels_not_confirmed": controller.cancels.unconfirmed,
+        "oldest_not_confirmed_s": round(controller.cancels.oldest_unconfirmed_s, 1),
+        "changes_in_doubt": sum(not job.is_settled for job in managed),
+        "stops_waiting": sum(part.stops_waiting for part in parts),
+        "machines_with_unknown_tasks": sum(len(part.with_unknown_tasks) for part in parts),
+    }
+
+
+def _parts(controller: Controller) -> list[dict[str, Any]]:
+    split = controller.view.split
+    shown = []
+    for number, record in enumerate(split.parts if split is not None else []):
+        told_at, summary = controller.summaries.get(number, (None, None))
+        members = (m.part == number for m in controller.view.machines.values())
+        shown.append(
+            {
+                "part": number,
+                "owner": record.owner,
+                "term": record.term,
+                "shares_cpus": {team: x[0] / UNIT for team, x in record.shares.items()},
+                "backlog_cpus": summary.backlog / UNIT if summary is not None else None,
+                "told_s_ago": round(controller.now - told_at, 1) if told_at is not None else None,
+                "machines": sum(members),
+            }
+        )
+    return shown
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from marblestair.core.decision_log import LINES_PER_S, Decision, DecisionLog
+from marblestair.core.status import status
 from tests.fakes.deployment import spec
 from tests.helpers import manager, running, warm
 
@@ -56,9 +57,9 @@
     assert "awaits=1" in released[0][2]
     w.cancel(child)
     w.run(5.0)
-    counts = [running(w, name).status()["decisions"] for name in w.node_names]
+    counts = [status(running(w, name))["decisions"] for name in w.node_names]
     assert sum(c.get("launch in an answer", 0) for c in counts) == 2
     assert sum(c.get("stop in an answer", 0) + c.get("stop direct", 0) for c in counts) >= 1
-    status = running(w, "n0").status()
-    assert status["cancels_not_confirmed"] == 0 and status["stops_waiting"] == 0
+    shown = status(running(w, "n0"))
+    assert shown["cancels_not_confirmed"] == 0 and shown["stops_waiting"] == 0
     assert w.broken == []
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -11,6 +11,7 @@
 from marblestair.core.answers import JobState, JobStatus, Proof, ProvenStatus
 from marblestair.core.calls import FINAL, PROGRESS, Commit, Get
 from marblestair.core.model import JobSpec
+from marblestair.core.status import status
 from tests.fakes.deployment import spec
 from tests.fakes.world import World
 from tests.helpers import Recorder, manager, manager_of, owner, running, warm
@@ -193,8 +194,8 @@
         w.kill(name, 0.5)
     w.run(15.0)
     child = spec(2, tasks=1, estimate_s=1.0, awaits=[parent.id])
-    status, state = answer(w, "n1", child)
-    assert (status, state) == (201, "queued" if end == "done" else "cancelled")
+    code, state = answer(w, "n1", child)
+    assert (code, state) == (201, "queued" if end == "done" else "cancelled")
     if end == "done":
         assert w.finish(child.id, 40.0)
     assert w.state_of(child.id) == end
@@ -651,7 +652,7 @@
     parent = w.submit(spec(1, tasks=1, estimate_s=60.0))
     child = w.submit(spec(2, awaits=[parent]))
     w.run(1.0)
-    shown = running(w, manager_of(w, child)).status()["waiting"]
+    shown = status(running(w, manager_of(w, child)))["waiting"]
     assert shown == [
         {"job": child, "awaits": [parent], "awaits_in_all": 1, "ancestor_cancelled": False}
     ]
--- a/tests/test_state_limits.py
+++ b/tests/test_state_limits.py
@@ -11,6 +11,7 @@
 from marblestair import settings as st
 from marblestair.core import keys
 from marblestair.core.calls import Commit, Put
+from marblestair.core.status import status
 from marblestair.node import Node
 from marblestair.policy import Policy
 from tests.fakes.deployment import raw_settings, settings, spec
@@ -101,9 +102,9 @@
     core = w.cores["n0"]
     assert core is not None
     core.note_refused_commit(Commit([], [Put("main/w/node/n0", 1, lease=5)]))
-    assert core.status()["refused_commits"] == 0
+    assert status(core)["refused_commits"] == 0
     core.note_refused_commit(Commit([], [Put("main/w/job/job-1", "x" * 100)]))
-    assert core.status()["refused_commits"] == 1
+    assert status(core)["refused_commits"] == 1
     assert [level for level, text in core.lines if "main/w/job/job-1" in text] == ["error"]
     core.lines.clear()
 
