--- a/tests/test_pipeline_search.py
+++ b/tests/test_pipeline_search.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from marblestair.core.calls import PROGRESS, Commit
 from tests.fakes.deployment import spec
 from tests.test_answers_search import BUSY_S, Search
 
@@ -96,11 +97,18 @@
     def _trouble(self) -> None:
         super()._trouble()
         w = self.world
+        if self.rng.random() < 0.5:
+            w.late = lambda _node, commit: self._starve(commit)
         at = 12.0
         while at < 2.0 * BUSY_S:
             w.at(at, self.rng.choice([self._alone_then_out, self._unheard, self._long_outage]))
             at += self.rng.uniform(10.0, 60.0)
 
+    def _starve(self, commit: Commit) -> float | None:
+        """What goes in the lowest lane of changes may be held up for long behind the others."""
+        is_low = commit.lane == PROGRESS and self.rng.random() < 0.8
+        return self.rng.uniform(10.0, 60.0) if is_low else None
+
     def _alone_then_out(self) -> None:
         """A node loses the state service, perhaps its peers, and then the service is out."""
         w = self.world
