review: room on busy machines of two shards is never joined for a gang

Cause: a gang is placed within one shard, migrates only to a shard whose own room holds all of it, and only machines without any task change their shard.

Change: case 7. Nothing of the project is changed.

Not run on arm64.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 story.py
