--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -739,7 +739,9 @@
                     self._exit(task, "halted", stored=True)
 
     def _pull(self, task: Task, spec: Any, passed: float) -> None:
-        """Fetch the image; after that the task is on the machine."""
+        """Fetch the image, once for all tasks; after that the task is on the machine."""
+        if spec["bundle"] in self.images:
+            task.pull_s = 0.0
         task.pull_s -= passed
         if task.pull_s > 0:
             return
