Gangs reserve all their machines or none, and for a bounded time only

And while small gangs kept coming, a large gang that the fleet could serve did not begin within four minutes, though one machine stood idle for it all the time.

Cause: the plan reserved whatever machines a pending gang could use, also when the cloud had refused the rest, and without an end. Machines that ran other gangs were never reserved, so each of them was taken by the next small gang. Who holds which machine was not to be seen in the logs: the plan's line now counts the gangs that lack machines, the withheld jobs and the longest of their waits, and a line says for which job reservations were suspended.

Change: - A gang reserves machines only if it can get all that it needs, from the fleet, from the cloud or from other gangs when these end. A kind that the cloud refused until just now is still requested, but counts as had only once the cloud has granted it. A gang bound to one zone tries each. - Gangs of several machines also reserve machines that run other gangs, if the cloud refuses what is missing, or if they have waited for longer than a boot. - A job that would fit into the free capacity of reserved machines is withheld. Arrays no longer put single tasks on machines that a gang collects: under a load of arrays these kept a gang from ever finding its machines empty.

--- a/marblestair/core/capacity/capacity_refusals.py
+++ b/marblestair/core/capacity/capacity_refusals.py
@@ -11,6 +11,9 @@
 
 #: maximum time for which a refusal reported by another controller is valid, in seconds
 MAX_REPORTED_REFUSAL_S = 300.0
+#: time after the end of a refusal for which it is doubtful that the cloud has the kind again, in
+#: seconds; until then, the kind has been requested once more and the cloud has answered
+DOUBTFUL_S = 20.0
 
 #: name of the machine type, zone, and whether it is a spot machine
 KindKey: TypeAlias = tuple[str, str, bool]
@@ -24,13 +27,23 @@
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
-        #: kind -> monotonic time until which this node does not request the kind
+        #: kind -> monotonic time until which this node does not request the kind; the entry stays
+        #: until a rental of the kind is granted
         self._refused_until: dict[KindKey, float] = {}
 
     def record_refusal(self, kind: KindKey, seconds: float) -> None:
         """Record that the cloud refused a kind, which is then not requested for ``seconds``."""
         self._refused_until[kind] = self._context.now + seconds
 
+    def record_grant(self, kind: KindKey) -> None:
+        """Record that the cloud rented all requested machines of a kind."""
+        self._refused_until.pop(kind, None)
+
+    def is_doubtful(self, kind: MachineKind) -> bool:
+        """Whether a kind is refused or was until recently, and none was granted since."""
+        until = self._refused_until.get(kind.key)
+        return until is not None and self._context.now < until + DOUBTFUL_S
+
     def is_refused(self, kind: MachineKind) -> bool:
         """Whether a refusal of a kind is still valid, so that it must not be requested now."""
         until = self._refused_until.get(kind.key)
--- a/marblestair/core/capacity/fleet_planner.py
+++ b/marblestair/core/capacity/fleet_planner.py
@@ -8,6 +8,7 @@
 from marblestair.core.capacity.plan_inputs import PlanInputs
 from marblestair.core.capacity.planning import plan
 from marblestair.core.capacity.provisioning import UNKNOWN_BOOT_S, JobLoad, Plan, Tuning
+from marblestair.core.capacity.withheld_capacity import WithheldCapacity
 from marblestair.core.domain.jobs import JobKind
 from marblestair.core.runtime.context import NodeContext
 from marblestair.core.scheduling.arrivals import Arrivals
@@ -55,6 +56,9 @@
         #: smoothed target in cpus; None before the first smoothing
         self._average_cpus: float | None = None
         self._logged_at: float | None = None
+        self.withheld = WithheldCapacity(context)
+        #: monotonic time of the latest plan
+        self.computed_at = context.now
 
     def compute(self) -> Plan:
         """Compute the plan, and update the part of it that placement uses."""
@@ -74,8 +78,14 @@
             self._arrivals.expected_gangs,
             self._tuning,
             self._smooth_target,
+            is_doubtful=self._refusals.is_doubtful,
+            is_reserving_suspended=self.withheld.is_suspended,
         )
+        self.computed_at = self._context.now
+        self.withheld.observe(loads, machines, computed.reserved_machines)
         self._fleet_plan.reserved_machines = computed.reserved_machines
+        self._fleet_plan.gangs_lacking_machines = computed.gangs_lacking_machines
+        self._fleet_plan.is_reserving_suspended = self.withheld.is_suspended
         self._fleet_plan.draining_machines = computed.draining_machines
         self._fleet_plan.infeasible_jobs = self._find_infeasible(loads)
         self._log(computed, loads)
@@ -129,5 +139,9 @@
             f"plan: target_cpus={computed.target_cpus:.0f}"
             f" capacity_cpus={computed.capacity_cpus:.0f} running_cpus={running_cpus:.0f}"
             f" allowed_pending_cpus={allowed_cpus:.0f} pending_cpus={pending_cpus:.0f}"
-            f" reserved_machines={len(computed.reserved_machines)} rentals={computed.rentals}",
+            f" reserved_machines={len(computed.reserved_machines)}"
+            f" withheld_jobs={self.withheld.withheld_count}"
+            f" longest_withheld_s={self.withheld.longest_wait_s:.0f}"
+            f" gangs_lacking_machines={len(computed.gangs_lacking_machines)}"
+            f" rentals={computed.rentals}",
         )
--- a/marblestair/core/capacity/machine_kinds_by_price.py
+++ b/marblestair/core/capacity/machine_kinds_by_price.py
@@ -54,9 +54,12 @@
         is_refused: Callable[[MachineKind], bool],
         tuning: Tuning,
         scarce: set[str],
+        is_doubtful: Callable[[MachineKind], bool],
     ) -> None:
         self.types = types
         self._is_refused = is_refused
+        #: tells whether it is doubtful that the cloud has a kind, since it refused it lately
+        self.is_doubtful = is_doubtful
         self._tuning = tuning
         self._scarce = scarce
         self._kinds: dict[KindFilter, list[MachineKind]] = {}
--- a/marblestair/core/capacity/plan_draft.py
+++ b/marblestair/core/capacity/plan_draft.py
@@ -25,6 +25,8 @@
     def __init__(self, machines: list[AvailableMachine]) -> None:
         self.plan = Plan()
         self.machines = machines
+        #: names of the machines that were allocated to gangs in this plan
+        self.allocated_machines: set[str] = set()
         #: names of the machines that run gangs or were allocated to gangs in this plan
         self.gang_machines = {machine.name for machine in machines if machine.runs_gang}
         #: requested kind -> number of machines
--- a/marblestair/core/capacity/plan_inputs.py
+++ b/marblestair/core/capacity/plan_inputs.py
@@ -9,6 +9,7 @@
 from marblestair.core.jobs.dependencies import DependencyGraph
 from marblestair.core.messaging.received_summaries import ReceivedSummaries
 from marblestair.core.runtime.context import NodeContext
+from marblestair.core.scheduling.fleet_plan import FleetPlan
 from marblestair.core.scheduling.inherited_urgency import InheritedUrgency
 from marblestair.core.scheduling.run_times import RunTimes
 from marblestair.core.state.machine_catalog import MachineCatalog
@@ -34,6 +35,7 @@
         run_times: RunTimes,
         dependencies: DependencyGraph,
         urgency: InheritedUrgency,
+        fleet_plan: FleetPlan,
     ) -> None:
         self._context = context
         self._view = view
@@ -42,6 +44,7 @@
         self._run_times = run_times
         self._dependencies = dependencies
         self._urgency = urgency
+        self._fleet_plan = fleet_plan
 
     def reported_state(self) -> ReportedState:
         """Merge the latest summaries of all shards."""
@@ -60,11 +63,14 @@
         for record in live:
             spec = self._urgency.scheduling_spec(record)
             pending, placed = reported.tasks.get(spec.id, (0, 0))
+            waiting = pending
             if record.is_cancelled or not pending + placed:
                 continue
             # Tasks beyond the team's cpu limit cannot run, so no machines are planned for them. A
             # gang starts only as a whole, so none are planned if the limit allows only a part.
-            allowed = headroom.reserve(record, pending)
+            allowed = headroom.allowed(record, pending)
+            if spec.id not in self._fleet_plan.gangs_lacking_machines:
+                headroom.reserve(record, allowed)
             if spec.kind == JobKind.GANG:
                 pending = 0 if allowed < spec.task_count and not placed else allowed
             run_s = max(MIN_RUN_S, spec.estimated_run_s * self._run_times.ratio(spec.job_class))
@@ -73,7 +79,12 @@
                 due_at = spec.accepted_at + spec.deadline_s
             due_in_s = due_at - self._context.wall_time
             shard_id = reported.shard_of_job.get(spec.id)
-            loads.append(JobLoad(spec, pending, placed, due_in_s, run_s, allowed, shard_id))
+            waited_s = self._context.wall_time - record.startable_since
+            loads.append(
+                JobLoad(
+                    spec, pending, placed, due_in_s, run_s, allowed, shard_id, waited_s, waiting
+                )
+            )
         return loads + self._upcoming_loads(reported, live, headroom, default_deadline_run_times)
 
     def _upcoming_loads(
@@ -95,7 +106,8 @@
             spec = self._urgency.scheduling_spec(record)
             if spec.kind == JobKind.GANG:
                 continue
-            allowed = headroom.reserve(record, spec.task_count)
+            allowed = headroom.allowed(record, spec.task_count)
+            headroom.reserve(record, allowed)
             run_s = max(MIN_RUN_S, spec.estimated_run_s * self._run_times.ratio(spec.job_class))
             due_in_s = default_deadline_run_times * run_s
             loads.append(JobLoad(spec, spec.task_count, 0, due_in_s, run_s, allowed))
--- a/marblestair/core/capacity/planning.py
+++ b/marblestair/core/capacity/planning.py
@@ -41,6 +41,9 @@
     expected_gangs: dict[str, ExpectedGangs],
     tuning: Tuning,
     smooth: Callable[[float], float] = lambda target_cpus: target_cpus,
+    *,
+    is_doubtful: Callable[[MachineKind], bool] = lambda kind: False,
+    is_reserving_suspended: bool = False,
 ) -> Plan:
     """Return the fleet plan, which depends only on the arguments.
 
@@ -63,6 +66,11 @@
     smooth
         Averages the arrays' target in cpus over time, so that no machines are rented for a burst
         that ends before they have booted. By default, the target is not averaged.
+    is_doubtful
+        Tells whether the cloud refused a kind until recently. Such a kind is requested, but no
+        machine is reserved for a gang that needs it.
+    is_reserving_suspended
+        Whether no machine is to be reserved for gangs at present.
     """
     gangs = [load for load in loads if load.spec.kind == JobKind.GANG]
     arrays = [load for load in loads if load.spec.kind != JobKind.GANG]
@@ -70,8 +78,10 @@
         (machine_type.boot_s for machine_type in types.values()), default=UNKNOWN_BOOT_S
     )
     draft = PlanDraft(machines)
-    kinds = KindsByPrice(types, is_refused, tuning, scarce_types(expected_gangs, types))
-    reservations = GangReservations(draft, kinds, boot_s)
+    kinds = KindsByPrice(
+        types, is_refused, tuning, scarce_types(expected_gangs, types), is_doubtful
+    )
+    reservations = GangReservations(draft, kinds, boot_s, is_reserving_suspended)
     reservations.reserve_for_pending(gangs)
     reservations.reserve_for_expected(expected_gangs, arrays, tuning.standby_gangs)
     capacity = ArrayCapacity(draft, kinds, arrays, tuning, boot_s)
--- a/marblestair/core/capacity/provisioning.py
+++ b/marblestair/core/capacity/provisioning.py
@@ -62,6 +62,10 @@
     allowed_tasks: int
     #: a shard that has tasks of the job; None if not known
     shard_id: int | None = None
+    #: seconds since the job became startable
+    waited_s: float = 0.0
+    #: number of pending tasks, also of those that the team's limit does not allow
+    waiting: int = 0
 
 
 class AvailableMachine(msgspec.Struct, frozen=True):
@@ -121,3 +125,5 @@
     surplus_machines: set[str] = set()
     #: machine reserved for a gang -> id of the pending job, or EXPECTED_GANG
     reserved_machines: dict[str, str] = {}
+    #: pending gangs that cannot get all machines that they need at present
+    gangs_lacking_machines: set[str] = set()
--- a/marblestair/core/capacity/rentals.py
+++ b/marblestair/core/capacity/rentals.py
@@ -102,6 +102,8 @@
         self._context.log("info", f"rented {machines} as {name}: {kind}")
         if len(machines) < rental.count:
             self._record_refusal(rental, 0.0)
+        else:
+            self._refusals.record_grant((rental.machine_type, rental.zone, rental.spot))
         yield from self._record_machines(shard, name, rental, intent_version, machines)
         return len(machines)
 
--- a/marblestair/core/capacity/reported_state.py
+++ b/marblestair/core/capacity/reported_state.py
@@ -47,6 +47,7 @@
             self.shard_of_job[job] = shard_id
         self.gang_machines.update(summary.gang_machines)
         self.used_cpus.update(summary.busy_machines)
+        self.used_cpus.update(summary.gang_machine_cpus)
         for name, idle_s in summary.idle_machines:
             self.idle_machines[name] = idle_s + (now - received_at)
         self.unavailable_machines.update(summary.unavailable_machines)
--- a/marblestair/core/capacity/services.py
+++ b/marblestair/core/capacity/services.py
@@ -51,6 +51,7 @@
             scheduling.run_times,
             jobs.dependencies,
             scheduling.urgency,
+            scheduling.fleet_plan,
         )
         self.fleet_planner = FleetPlanner(
             context,
--- a/marblestair/core/capacity/team_headroom.py
+++ b/marblestair/core/capacity/team_headroom.py
@@ -28,12 +28,15 @@
         if is_gang:
             self._gang_cpus[team] = self._gang_cpus.get(team, 0.0) - cpus
 
-    def reserve(self, record: JobRecord, pending: int) -> int:
-        """Reserve cpus for as many pending tasks as the team's limit allows; return how many."""
+    def allowed(self, record: JobRecord, pending: int) -> int:
+        """Return how many of a job's pending tasks the team's limit allows to run."""
         spec = record.spec
         is_gang = spec.kind == JobKind.GANG
         left = self._gang_cpus if is_gang else self._cpus
         fitting = int(left[spec.team] // spec.cpus) if spec.cpus else pending
-        allowed = max(0, min(pending, fitting))
-        self._use(spec.team, allowed * spec.cpus, is_gang)
-        return allowed
+        return max(0, min(pending, fitting))
+
+    def reserve(self, record: JobRecord, task_count: int) -> None:
+        """Deduct the cpus of some of a job's tasks from the headroom that is left."""
+        spec = record.spec
+        self._use(spec.team, task_count * spec.cpus, spec.kind == JobKind.GANG)
--- a/marblestair/core/messaging/shard_summary.py
+++ b/marblestair/core/messaging/shard_summary.py
@@ -52,6 +52,9 @@
     #: job failed and every other failing job is quarantined. For a job that the sender has
     #: quarantined, the number is at least ``MIN_QUARANTINE_MACHINES``.
     failing_jobs: list[tuple[str, int]] = []
+    #: machines that run tasks of gangs, and the cpus in use on each; empty if the sender's version
+    #: does not report them
+    gang_machine_cpus: list[tuple[str, int]] = []
 
     def snapshot(self) -> ShardSummary:
         """Return a copy that does not change when capacity or quota is reserved in this summary."""
--- a/marblestair/core/scheduling/machine_filling.py
+++ b/marblestair/core/scheduling/machine_filling.py
@@ -129,4 +129,4 @@
         if free_cpus >= gang.resources[0] and self._placement.place_gang(shard, gang, reserved):
             return
         if not self._failures.is_quarantined(gang.spec.id):
-            reserved.reserve(gang)
+            self._placement.reserve_quota(gang, reserved)
--- a/marblestair/core/scheduling/placement_pass.py
+++ b/marblestair/core/scheduling/placement_pass.py
@@ -93,7 +93,7 @@
             if self._preemption.preempt_for(shard, gang, quota, self._survey):
                 # Slices later in the queue must not use the machines that are being cleared.
                 self._exclude(self._preemption.claims)
-        reserved.reserve(gang)
+        self._placement.reserve_quota(gang, reserved)
 
     def _exclude(self, names: Container[str]) -> None:
         """Exclude the named machines from the rest of this pass."""
--- a/marblestair/core/scheduling/shard_summarizer.py
+++ b/marblestair/core/scheduling/shard_summarizer.py
@@ -27,8 +27,8 @@
     busy_machines: list[tuple[str, int]] = []
     #: machines without tasks, and how long they have been idle, in seconds
     idle_machines: list[tuple[str, float]] = []
-    #: machines that run tasks of gangs
-    gang_machines: list[str] = []
+    #: machines that run tasks of gangs, and their cpus in use, in fixed point
+    gang_machines: list[tuple[str, int]] = []
     #: machines that do not count as capacity: unresponsive, overdue (no first heartbeat in time),
     #: about to be reclaimed, or being released
     unavailable_machines: list[str] = []
@@ -77,7 +77,7 @@
                 for job_slice in self._dispatcher.pending_in_order(shard)
                 if self._machine_transfers.lacks_capacity(job_slice)
             ],
-            gang_machines=use.gang_machines,
+            gang_machines=[name for name, _ in use.gang_machines],
             unavailable_machines=use.unavailable_machines,
             partitioned_machines=sorted(partitioned),
             required_quota=demand.required_quota,
@@ -86,6 +86,7 @@
                 for job, machine_count in self._failures.failing_jobs()
                 if job in shard.slices
             ],
+            gang_machine_cpus=use.gang_machines,
         )
 
     def _free_capacity(self, shard: Shard) -> list[FreeCapacity]:
@@ -163,10 +164,9 @@
                 idle_s = round(self._context.now - machine.idle_since, 2)
                 use.idle_machines.append((machine.name, idle_s))
             elif machine.name in gang_machines:
-                use.gang_machines.append(machine.name)
+                use.gang_machines.append((machine.name, _used_cpus(machine)))
             elif machine.machine_type is not None and machine.tasks:
-                used_cpus = machine.machine_type.capacity[0] - machine.free[0]
-                use.busy_machines.append((machine.name, used_cpus))
+                use.busy_machines.append((machine.name, _used_cpus(machine)))
         return use
 
     def _is_unavailable(self, machine: Machine) -> bool:
@@ -190,6 +190,13 @@
         )
 
 
+def _used_cpus(machine: Machine) -> int:
+    """Return the cpus in use on a machine, in fixed point; 0 if its type is unknown."""
+    if machine.machine_type is None:
+        return 0
+    return machine.machine_type.capacity[0] - machine.free[0]
+
+
 def _gang_machines(shard: Shard) -> set[str]:
     """Return the names of the machines that run tasks of gangs."""
     return {
--- a/marblestair/core/scheduling/slice_placement.py
+++ b/marblestair/core/scheduling/slice_placement.py
@@ -23,7 +23,7 @@
 #: maximum time within which, as the users require, every job must start, even the largest
 MAX_START_DELAY_S = 240.0
 #: maximum time for which an array without placed tasks is kept off machines that are reserved for
-#: expected gangs; the maximum for machines that are reserved for pending gangs is twice as long
+#: expected gangs; for pending gangs, the fleet plan bounds the reservations itself
 MAX_RESERVATION_WAIT_S = MAX_START_DELAY_S / 8
 #: weight of the image fetch time when a machine is chosen for a guaranteed array; 1 for others
 GUARANTEED_FETCH_WEIGHT = 3.0
@@ -84,6 +84,11 @@
         resources = job_slice.resources
         return used[0] + resources[0] <= quota[0] and used[1] + resources[1] <= quota[1]
 
+    def reserve_quota(self, gang: JobSlice, reserved: ReservedQuota) -> None:
+        """Reserve the quota of a pending gang, unless the fleet plan keeps nothing for it now."""
+        if self._fleet_plan.keeps_quota_for(gang.spec.id):
+            reserved.reserve(gang)
+
     def pending_cpus_within_quota(
         self, shard: Shard, job_slice: JobSlice, reserved: ReservedQuota
     ) -> int:
@@ -114,7 +119,7 @@
         excluded: Collection[str] = self._fleet_plan.reserved_machines.keys()
         waited_s = self._context.now - job_slice.pending_since
         if excluded and not job_slice.placed_on and waited_s > MAX_RESERVATION_WAIT_S:
-            excluded = self._machines_still_reserved(waited_s)
+            excluded = self._reserved_for_pending()
             if not self._has_unreserved_machine(candidates.free, job_slice.resources[0]):
                 # One task is enough for the job to start; gangs keep their other reserved machines.
                 max_tasks = min(max_tasks, 1)
@@ -128,10 +133,8 @@
         )
         return place_array(shard, job_slice, candidates, constraints, self._context.rng)
 
-    def _machines_still_reserved(self, waited_s: float) -> set[str]:
-        """Return the reserved machines that a slice may not use yet after waiting ``waited_s``."""
-        if waited_s > 2 * MAX_RESERVATION_WAIT_S:
-            return set()
+    def _reserved_for_pending(self) -> set[str]:
+        """Return the machines that are reserved for pending gangs, not for expected ones."""
         return {name for name, job in self._fleet_plan.reserved_machines.items() if job}
 
     def _has_unreserved_machine(self, machines: list[Machine], cpus: int) -> bool:
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -37,6 +37,10 @@
         self.is_down = False
         #: maximum number of machines rented at one time
         self.capacity = 12
+        #: type and zone -> maximum number of such machines rented at one time; no entry: no maximum
+        self.capacity_by_kind: dict[tuple[str, str], int] = {}
+        #: whether every rental is refused for lack of capacity
+        self.is_full = False
         self.machine_types = MACHINE_TYPES
         #: name of a rental -> names of its machines
         self.rentals: dict[str, list[str]] = {}
@@ -68,13 +72,20 @@
     def _rent(self, request: RentMachines) -> CloudResponse:
         """Rent machines; a repeated rental name returns the machines of the first request."""
         if request.name not in self.rentals:
-            rented = sum(not agent.is_released for agent in self._deployment.agents.values())
-            count = min(request.count, self.capacity - rented)
-            if count <= 0:
+            count = min(request.count, self._free_capacity(request))
+            if count <= 0 or self.is_full:
                 return CloudResponse(503, no_capacity=True)
             self.rentals[request.name] = [self._boot_machine(request) for _ in range(count)]
         return CloudResponse(200, machines=self.rentals[request.name])
 
+    def _free_capacity(self, request: RentMachines) -> int:
+        """Return how many more machines of the requested kind can be rented now."""
+        rented = [agent for agent in self._deployment.agents.values() if not agent.is_released]
+        kind = (request.machine_type, request.zone)
+        of_kind = sum((agent.machine_type.name, agent.zone) == kind for agent in rented)
+        most_of_kind = self.capacity_by_kind.get(kind, self.capacity)
+        return min(self.capacity - len(rented), most_of_kind - of_kind)
+
     def _boot_machine(self, request: RentMachines) -> str:
         """Create a machine, schedule its boot and return its name."""
         deployment = self._deployment
