Quota stays where a gang can use it

What callers saw (simulated): a gang that lacks machines kept all other gangs of its team waiting beside free machines, in other shards and in its own, although the team was far below its limit.

Cause: a shard with a gang that exceeds its quota draws the team's quota from all others and keeps it while the gang waits, also when the gang cannot start. And a shard gave all unused quota to a shard whose gang requires more than that shard's entire quota, also the quota that its own, older gang was about to use. Two shards passed the quota back and forth faster than machines came to either.

Change: gangs that lack machines demand no quota and hold none back. For another shard's gang, a shard gives its unused quota less what its own older gangs need, so the oldest gang keeps its quota until it begins. Which of two shards is older is known to both from the records, without a message.

--- a/marblestair/core/scheduling/demand.py
+++ b/marblestair/core/scheduling/demand.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from typing import TypeAlias
 
 import msgspec
@@ -46,8 +47,17 @@
     return pending
 
 
-def measure_demand(failures: FailureAttribution, quotas: EffectiveQuotas, shard: Shard) -> Demand:
-    """Sum the demand of all slices of a shard that are not cancelled."""
+def measure_demand(
+    failures: FailureAttribution,
+    quotas: EffectiveQuotas,
+    shard: Shard,
+    without_quota: Container[str] = (),
+) -> Demand:
+    """Sum the demand of all slices of a shard that are not cancelled.
+
+    The jobs in ``without_quota`` demand no quota. These are gangs that cannot start at present,
+    whatever their team's quota in the shard is.
+    """
     demand = Demand()
     demanded_by_team: dict[str, QuotaAmounts] = {}
     for job_slice in shard.slices.values():
@@ -57,6 +67,8 @@
         team = job_slice.spec.team
         cpus, gpus, _ = job_slice.resources
         demand.backlog_cpus += task_count * cpus
+        if job_slice.spec.id in without_quota:
+            continue
         demanded = demanded_by_team.setdefault(team, [0, 0])
         demanded[0] += task_count * cpus
         demanded[1] += task_count * gpus
--- a/marblestair/core/scheduling/quota_transfers.py
+++ b/marblestair/core/scheduling/quota_transfers.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
 from marblestair.core.domain.jobs import JobKind
 from marblestair.core.leadership import shard_map
 from marblestair.core.leadership.leadership import Leadership
@@ -16,7 +20,10 @@
 from marblestair.core.runtime.coroutines import Coroutine
 from marblestair.core.runtime.requests import Sleep
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
+from marblestair.core.scheduling.fleet_plan import FleetPlan
 from marblestair.core.scheduling.shard_summarizer import ShardSummarizer
+from marblestair.core.shard.failures import FailureAttribution
+from marblestair.core.shard.job_slice import JobSlice
 from marblestair.core.shard.shard import Shard
 from marblestair.core.state import keys
 from marblestair.core.state.records import ShardMap
@@ -28,6 +35,13 @@
 MAX_COMMIT_ATTEMPTS = 5
 
 
+class JobAge(NamedTuple):
+    """The order of jobs by age; the oldest job is the smallest."""
+
+    startable_since: float
+    job: str
+
+
 class QuotaTransfers:
     """Transfers quota from the shards that one node leads to other shards."""
 
@@ -40,6 +54,8 @@
         quotas: EffectiveQuotas,
         summaries: ReceivedSummaries,
         summarizer: ShardSummarizer,
+        fleet_plan: FleetPlan,
+        failures: FailureAttribution,
     ) -> None:
         self._context = context
         self._view = view
@@ -48,6 +64,8 @@
         self._quotas = quotas
         self._summaries = summaries
         self._summarizer = summarizer
+        self._fleet_plan = fleet_plan
+        self._failures = failures
 
     def rebalance(self, led_shards: list[Shard]) -> None:
         """Begin to transfer quota to a shard that lacks it, unless a transfer is in progress."""
@@ -90,28 +108,59 @@
         """Return the cpus and gpus that a shard can spare; None if the shard itself needs quota.
 
         If the other shard needs more than its entire quota of the team for one task or gang, all
-        unused quota can be spared, even if tasks pending in ``shard`` could use that quota.
+        unused quota can be spared, even if tasks pending in ``shard`` could use that quota. Only
+        what older gangs of ``shard`` need is kept, so that the quota does not move back and forth
+        between two shards before a gang can start in either.
         """
         used, quota = shard.usage(team), self._quotas.quota(shard, team)
         unused = [quota[i] - used[i] for i in range(2)]
         if team in other.required_quota:
-            # If both shards need more quota for one task or gang, only the shard with the
-            # higher id transfers quota to the other.
-            gives_quota = team not in own.required_quota or shard.shard_id > other.shard_id
-            return unused if gives_quota else None
+            kept = self._older_gangs(shard, team, self._oldest_requiring(other, team))
+            return [unused[i] - kept[i] for i in range(2)]
         if own.quota_shortfall.get(team) is not None or team in own.required_quota:
             return None
-        pending = self._pending_resources(shard, team)
+        pending = _pending_resources(
+            job_slice for job_slice in shard.slices.values() if self._demands_quota(job_slice, team)
+        )
         return [unused[i] - pending[i] for i in range(2)]
 
-    def _pending_resources(self, shard: Shard, team: str) -> list[int]:
-        """Return the cpus and gpus of a team's pending tasks in a shard, in fixed point."""
-        total = [0, 0]
-        for job_slice in shard.slices.values():
-            if job_slice.spec.team == team and not job_slice.is_cancelled:
-                total[0] += len(job_slice.pending) * job_slice.resources[0]
-                total[1] += len(job_slice.pending) * job_slice.resources[1]
-        return total
+    def _older_gangs(self, shard: Shard, team: str, age: JobAge) -> list[int]:
+        """Return the cpus and gpus of a team's pending gangs in a shard that are older."""
+        return _pending_resources(
+            job_slice
+            for job_slice in shard.slices.values()
+            if job_slice.spec.kind == JobKind.GANG
+            and self._demands_quota(job_slice, team)
+            and not self._failures.is_quarantined(job_slice.spec.id)
+            and JobAge(job_slice.startable_since, job_slice.spec.id) < age
+        )
+
+    def _demands_quota(self, job_slice: JobSlice, team: str) -> bool:
+        """Whether a slice is of a team and may use its quota; not if it lacks machines anyway."""
+        return (
+            job_slice.spec.team == team
+            and not job_slice.is_cancelled
+            and job_slice.spec.id not in self._fleet_plan.gangs_lacking_machines
+        )
+
+    def _oldest_requiring(self, summary: ShardSummary, team: str) -> JobAge:
+        """Return the age of a team's oldest job that requires more than a shard's quota."""
+        shard_map = self._view.shard_map
+        quota = [0, 0]
+        if shard_map is not None:
+            quota = shard_map.shards[summary.shard_id].quotas.get(team, [0, 0])
+        oldest = JobAge(math.inf, "")
+        for job, pending, _ in summary.pending_jobs:
+            record = self._view.jobs.get(job)
+            if record is None or record.spec.team != team or not pending:
+                continue
+            if job in self._fleet_plan.gangs_lacking_machines:
+                continue
+            unit = pending if record.spec.kind == JobKind.GANG else 1
+            cpus, gpus, _memory = record.spec.resources
+            if unit * cpus > quota[0] or unit * gpus > quota[1]:
+                oldest = min(oldest, JobAge(record.startable_since, job))
+        return oldest
 
     def largest_gang_cpus(self, shard: Shard, team: str) -> int:
         """Return the cpus of a team's largest pending gang in a shard, in fixed point.
@@ -123,9 +172,7 @@
             (
                 len(job_slice.pending) * job_slice.resources[0]
                 for job_slice in shard.slices.values()
-                if job_slice.spec.team == team
-                and job_slice.spec.kind == JobKind.GANG
-                and not job_slice.is_cancelled
+                if job_slice.spec.kind == JobKind.GANG and self._demands_quota(job_slice, team)
             ),
             default=0,
         )
@@ -178,6 +225,15 @@
             yield Sleep(0.1 + 0.2 * self._context.rng.random())
 
 
+def _pending_resources(job_slices: Iterable[JobSlice]) -> list[int]:
+    """Return the cpus and gpus of the pending tasks of some slices, in fixed point."""
+    total = [0, 0]
+    for job_slice in job_slices:
+        total[0] += len(job_slice.pending) * job_slice.resources[0]
+        total[1] += len(job_slice.pending) * job_slice.resources[1]
+    return total
+
+
 def _has_quota(current: ShardMap, shard_id: int, team: str, amounts: list[int]) -> bool:
     """Whether a shard's quota of a team is at least ``amounts``, cpus and gpus."""
     cpus, gpus = current.shards[shard_id].quotas.get(team, [0, 0])
--- a/marblestair/core/scheduling/services.py
+++ b/marblestair/core/scheduling/services.py
@@ -102,6 +102,7 @@
             self.preemption,
             self.dispatcher,
             self.machine_transfers,
+            self.fleet_plan,
         )
         self.quota_transfers = QuotaTransfers(
             context,
@@ -111,6 +112,8 @@
             self.quotas,
             self._summaries,
             self.summarizer,
+            self.fleet_plan,
+            self.failures,
         )
         self.slice_migrations = SliceMigrations(
             context,
--- a/marblestair/core/scheduling/shard_summarizer.py
+++ b/marblestair/core/scheduling/shard_summarizer.py
@@ -10,6 +10,7 @@
 from marblestair.core.scheduling.demand import demanded_tasks, measure_demand
 from marblestair.core.scheduling.dispatch import Dispatcher
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
+from marblestair.core.scheduling.fleet_plan import FleetPlan
 from marblestair.core.scheduling.machine_transfers import MachineTransfers
 from marblestair.core.scheduling.placement import FreeCapacity
 from marblestair.core.scheduling.preemption import Preemption
@@ -46,6 +47,7 @@
         preemption: Preemption,
         dispatcher: Dispatcher,
         machine_transfers: MachineTransfers,
+        fleet_plan: FleetPlan,
     ) -> None:
         self._context = context
         self._quotas = quotas
@@ -54,10 +56,13 @@
         self._preemption = preemption
         self._dispatcher = dispatcher
         self._machine_transfers = machine_transfers
+        self._fleet_plan = fleet_plan
 
     def summarize(self, shard: Shard) -> ShardSummary:
         """Create a shard's summary for the leaders of the other shards."""
-        demand = measure_demand(self._failures, self._quotas, shard)
+        demand = measure_demand(
+            self._failures, self._quotas, shard, self._fleet_plan.gangs_lacking_machines
+        )
         agent_lease_s = self._context.settings.cluster.workers.lease_s
         partitioned = partitioned_machines(shard, agent_lease_s, self._context.now)
         use = self._machine_use(shard, partitioned)
--- a/tests/scenarios/test_reservations.py
+++ b/tests/scenarios/test_reservations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marblestair.core.domain.jobs import JobSpec
 from tests.fakes.samples import job_spec
 from tests.fakes.simulated_deployment import SimulatedDeployment
 from tests.scenarios.fleets import TEAM_NAMES, medium_fleet, whole_machine_gang
@@ -117,3 +118,52 @@
     assert all(wait_s(deployment, job) < MAX_WAIT_S for job in jobs)
     assert deployment.logged("reservations suspended", "was withheld")
     assert not deployment.rules.violations
+
+
+def quota_fleet(seed: int, first: JobSpec) -> SimulatedDeployment:
+    """Start four machines and limits of 130 cpus, and submit a first gang of team blue."""
+    deployment = start_fleet(seed, 4, cpu_limit=130.0)
+    deployment.users.submit(first)
+    deployment.run(20.0)
+    deployment.end_failures()
+    return deployment
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_gang_that_lacks_machines_keeps_no_quota_of_its_team(seed: int) -> None:
+    """Guards against quota that is kept without end for a gang that cannot start.
+
+    The gang lacked machines. Its shard drew the quota of its team from all others and did not give
+    it back, so gangs of the team in other shards waited beside free machines.
+    """
+    deployment = quota_fleet(seed, whole_machine_gang(2, team="blue", task_count=4, zone="b"))
+    deployment.users.submit(whole_machine_gang(3, team="blue", task_count=4, zone="b"))
+    small = [
+        deployment.users.submit(
+            whole_machine_gang(number, team="blue", task_count=2, estimated_run_s=15.0)
+        )
+        for number in range(10, 14)
+    ]
+    deployment.run(MAX_WAIT_S)
+    assert all(deployment.tasks.has_started(job) for job in small)
+    assert not deployment.rules.violations
+
+
+@pytest.mark.parametrize("seed", [2, 5])
+def test_quota_stays_with_the_oldest_gang_until_it_begins(seed: int) -> None:
+    """Guards against quota that moves between shards so that no gang ever starts.
+
+    Gangs of one team in several shards each need most of the team's limit. Each shard gave the
+    quota that its own gang was about to use to a shard whose gang needed more.
+    """
+    deployment = start_fleet(seed, 6, cpu_limit=98.0)
+    deployment.end_failures()
+    jobs = [
+        deployment.users.submit(
+            whole_machine_gang(number, team="red", task_count=2 + number % 2, estimated_run_s=25.0)
+        )
+        for number in range(1, 9)
+    ]
+    deployment.run(MAX_START_DELAY_S)
+    assert all(deployment.tasks.has_started(job) for job in jobs)
+    assert not deployment.rules.violations
