Reserved machines join their gang past an older one that cannot start

Cause: idle machines left a shard only if no older job of it lacked capacity, also when the fleet plan had reserved them, and a gang that cannot get its machines counted as lacking capacity.

Change: machines reserved for a gang are transferred in any case, since the plan serves the oldest gangs first. The rule of age remains for machines that nobody reserved. A gang that lacks machines draws none into its shard, one by one, until it can get all.

--- a/marblestair/core/scheduling/machine_transfers.py
+++ b/marblestair/core/scheduling/machine_transfers.py
@@ -79,7 +79,8 @@
 
         It does if the job's tasks must start together and the slice has been pending for longer
         than ``MIN_PENDING_INTERVALS``. Slices that have placed or migrating tasks, or that are
-        unreconciled, cancelled or quarantined, do not count.
+        unreconciled, cancelled or quarantined, do not count. Nor do gangs that cannot get all their
+        machines: they would keep the shard's idle machines from gangs of other shards.
         """
         if not job_slice.spec.is_indivisible:
             return False
@@ -90,13 +91,16 @@
         min_pending_s = MIN_PENDING_INTERVALS * self._context.settings.cluster.workers.report_s
         if self._context.now - job_slice.pending_since <= min_pending_s:
             return False
+        if job_slice.spec.id in self._fleet_plan.gangs_lacking_machines:
+            return False
         return not self._failures.is_quarantined(job_slice.spec.id)
 
     def transfer_idle_machines(self, shard: Shard) -> None:
         """Start a transfer of idle machines to another shard with a job that lacks capacity.
 
-        No machines are transferred for a job if a job of ``shard`` also lacks capacity and became
-        startable earlier.
+        Machines that the fleet plan reserves for a job are transferred in any case, since the plan
+        serves the oldest gangs first. No others are transferred if a job of ``shard`` also lacks
+        capacity and became startable earlier.
         """
         shard_map = self._view.shard_map
         if self._is_in_progress or shard_map is None or shard.unreconciled_machines:
@@ -114,9 +118,12 @@
                 record = self._view.jobs.get(job)
                 if record is None or record.is_cancelled:
                     continue
-                if oldest_local is not None and (record.startable_since, job) > oldest_local:
-                    continue
-                machines = self._machines_for(idle, record.spec, summary)
+                is_older_waiting = (
+                    oldest_local is not None and (record.startable_since, job) > oldest_local
+                )
+                machines = self._reserved_machines(idle, record.spec)
+                if not machines and not is_older_waiting:
+                    machines = self._unreserved_machine(idle, record.spec, summary)
                 if machines:
                     self._begin(shard, machines, summary.shard_id)
                     return
@@ -147,32 +154,33 @@
 
     # --- choice of machines ----------------------------------------------------------------
 
-    def _machines_for(
-        self, idle: list[Machine], spec: JobSpec, summary: ShardSummary
-    ) -> list[Machine]:
-        """Choose idle machines to transfer for a job of another shard.
+    def _reserved_machines(self, idle: list[Machine], spec: JobSpec) -> list[Machine]:
+        """Return the idle machines that the fleet plan reserves for a job of another shard.
 
-        Machines that the fleet plan reserves for the job are chosen, as many as one transaction can
-        transfer. If no machine is reserved for the job, the unclaimed machine with the lowest
-        regular price is chosen, unless the job already fits into the free capacity that the other
-        shard reported. For a job that needs a single zone, the unclaimed machine must be in the
-        zone with the most capacity for the job.
+        At most as many are returned as one transaction can transfer: each machine needs one
+        operation of it, and the shard map needs one too.
         """
-        suitable = [
-            machine
-            for machine in idle
-            if may_run_on_machine(spec, machine) and tasks_that_fit(machine, spec.resources)
-        ]
         reserved = [
             machine
-            for machine in suitable
+            for machine in idle
             if self._fleet_plan.reserved_machines.get(machine.name) == spec.id
+            and _is_suitable(machine, spec)
         ]
-        if reserved:
-            # Each machine needs one operation of the transaction, and the shard map needs one too.
-            return reserved[: max(1, self._context.settings.cluster.state.txn_ops - 1)]
+        return reserved[: max(1, self._context.settings.cluster.state.txn_ops - 1)]
+
+    def _unreserved_machine(
+        self, idle: list[Machine], spec: JobSpec, summary: ShardSummary
+    ) -> list[Machine]:
+        """Choose one idle machine to transfer for a job of another shard; none if none suits.
+
+        The unclaimed machine with the lowest regular price is chosen, unless the job already fits
+        into the free capacity that the other shard reported. For a job that needs a single zone,
+        the machine must be in the zone with the most capacity for the job.
+        """
         unclaimed = [
-            machine for machine in suitable if not self._preemption.is_claimed(machine, spec.id)
+            machine
+            for machine in idle
+            if _is_suitable(machine, spec) and not self._preemption.is_claimed(machine, spec.id)
         ]
         if spec.single_zone and unclaimed:
             zone = self._zone_with_most_capacity(spec, summary)
@@ -280,6 +288,11 @@
         return CompareAndSwap(preconditions, puts, [], RequestPriority.CAPACITY)
 
 
+def _is_suitable(machine: Machine, spec: JobSpec) -> bool:
+    """Whether a job may run on a machine, and at least one of its tasks fits there."""
+    return may_run_on_machine(spec, machine) and tasks_that_fit(machine, spec.resources) > 0
+
+
 def _price(machine: Machine) -> float:
     """Return the regular hourly price of a machine; 0 if its type is unknown."""
     return machine.machine_type.price if machine.machine_type else 0.0
--- a/tests/scenarios/test_reservations.py
+++ b/tests/scenarios/test_reservations.py
@@ -43,7 +43,7 @@
     return jobs
 
 
-@pytest.mark.parametrize(("machines", "task_count"), [(2, 5), (4, 6)])
+@pytest.mark.parametrize(("machines", "task_count"), [(3, 4), (2, 5), (4, 6)])
 def test_a_gang_larger_than_the_cloud_keeps_no_machine_from_other_gangs(
     machines: int, task_count: int
 ) -> None:
@@ -167,3 +167,31 @@
     deployment.run(MAX_START_DELAY_S)
     assert all(deployment.tasks.has_started(job) for job in jobs)
     assert not deployment.rules.violations
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_machines_join_a_gang_although_an_older_one_cannot_start(seed: int) -> None:
+    """Guards against idle machines that stay in the shard of a gang that cannot start.
+
+    An older gang of the machines' shard that lacks its team's quota, or machines, kept machines
+    there that were reserved for a gang of another shard.
+    """
+    deployment = start_fleet(seed, 4, cpu_limit=130.0)
+    users = deployment.users
+    running = users.submit(
+        whole_machine_gang(1, team="red", task_count=1, estimated_run_s=400.0, zone="a")
+    )
+    assert deployment.run_until(lambda: deployment.tasks.has_started(running), 30.0)
+    older = [
+        users.submit(whole_machine_gang(number, team="red", task_count=4)) for number in range(2, 6)
+    ]
+    deployment.run(5.0)
+    deployment.end_failures()
+    younger = [
+        users.submit(whole_machine_gang(number, team="blue", task_count=3, estimated_run_s=10.0))
+        for number in range(10, 13)
+    ]
+    deployment.run(MAX_WAIT_S)
+    assert not any(deployment.tasks.has_started(job) for job in older)
+    assert all(deployment.tasks.has_started(job) for job in younger)
+    assert not deployment.rules.violations
