Gangs claim only machines on which they can start, and not without end

Cause: preemption chose the machines on which the least work is lost, in any zones, also machines that the job avoids after a failure, and without regard to its team's quota of gpus. Placement then refused them. The claims expired after six heartbeats and were made again at once.

Change: the choice keeps the zone limits, leaves avoided machines out and checks the quota of gpus. After two rounds of claims that expired before the gang began, it makes none for as long as a claim lasts; a log line says so.

--- a/marblestair/core/scheduling/preemption.py
+++ b/marblestair/core/scheduling/preemption.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
+
 import msgspec
 
 from marblestair.core.domain.jobs import PRIORITY_RANKS
@@ -21,6 +24,8 @@
     free_after_removal,
     preemptible_tasks,
 )
+from marblestair.core.scheduling.zone_rule import max_tasks_per_zone
+from marblestair.core.shard.failures import FailureAttribution
 from marblestair.core.shard.job_slice import JobSlice
 from marblestair.core.shard.machine import Machine, PlacedTask, StopReason
 from marblestair.core.shard.shard import Shard
@@ -28,6 +33,9 @@
 
 #: time after which a claim expires even if its gang has not started, in heartbeat intervals
 CLAIM_TTL_INTERVALS = 6.0
+#: number of times in a row that a gang's claims may expire before the gang has started; the gang
+#: then makes no claims for as long as a claim lasts, so that other work gets the cleared machines
+MAX_EXPIRED_ROUNDS = 2
 
 
 class Claim(msgspec.Struct):
@@ -38,6 +46,16 @@
     expires_at: float
 
 
+class _ExpiredClaims(msgspec.Struct):
+    """How often the claims of a gang that is still pending have expired."""
+
+    rounds: int = 0
+    #: monotonic time of the latest expiry
+    latest_at: float = -math.inf
+    #: monotonic time until which the gang makes no claims
+    paused_until: float = -math.inf
+
+
 class _ClearedMachine(msgspec.Struct):
     """A machine chosen for a gang, and the tasks to stop on it."""
 
@@ -64,21 +82,25 @@
 class Preemption:
     """Chooses the tasks to preempt in one node's shards, and holds the claims on machines."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - injected components
         self,
         context: NodeContext,
         view: StoreView,
         leadership: Leadership,
         arrivals: Arrivals,
         fleet_plan: FleetPlan,
+        failures: FailureAttribution,
     ) -> None:
         self._context = context
         self._view = view
         self._leadership = leadership
         self._arrivals = arrivals
         self._fleet_plan = fleet_plan
+        self._failures = failures
         #: machine -> its claim
         self.claims: dict[str, Claim] = {}
+        #: gang -> its expired claims
+        self._expired: dict[str, _ExpiredClaims] = {}
 
     # --- claims ----------------------------------------------------------------------------
 
@@ -106,13 +128,46 @@
         """
         for name, claim in list(self.claims.items()):
             is_pending = any(
-                name in shard.machines
-                and (job_slice := shard.slices.get(claim.job)) is not None
-                and not job_slice.placed_on
+                name in shard.machines and self._is_pending(shard, claim.job)
                 for shard in self._leadership.shards.values()
             )
-            if not is_pending or self._context.now > claim.expires_at:
+            if not is_pending:
                 del self.claims[name]
+            elif self._context.now > claim.expires_at:
+                del self.claims[name]
+                self._record_expiry(claim.job)
+        for job in list(self._expired):
+            if not any(self._is_pending(shard, job) for shard in self._leadership.shards.values()):
+                del self._expired[job]
+
+    def _is_pending(self, shard: Shard, gang: str) -> bool:
+        """Whether a shard has a gang without placed tasks."""
+        job_slice = shard.slices.get(gang)
+        return job_slice is not None and not job_slice.placed_on
+
+    def _record_expiry(self, gang: str) -> None:
+        """Count a round of expired claims; all claims of a round expire at the same time."""
+        now = self._context.now
+        expired = self._expired.setdefault(gang, _ExpiredClaims())
+        if expired.latest_at == now:
+            return
+        expired.latest_at = now
+        expired.rounds += 1
+        if expired.rounds >= MAX_EXPIRED_ROUNDS:
+            expired.rounds = 0
+            expired.paused_until = now + self._claim_ttl_s()
+            self._context.log(
+                "info",
+                f"gang {gang} makes no claims for {self._claim_ttl_s():.0f} s:"
+                f" its claims expired {MAX_EXPIRED_ROUNDS} times before it could start",
+            )
+
+    def _may_claim(self, gang: str) -> bool:
+        expired = self._expired.get(gang)
+        return expired is None or self._context.now >= expired.paused_until
+
+    def _claim_ttl_s(self) -> float:
+        return CLAIM_TTL_INTERVALS * self._context.settings.cluster.workers.report_s
 
     def _has_claims(self, job: str) -> bool:
         return any(claim.job == job for claim in self.claims.values())
@@ -135,8 +190,7 @@
         gang
             The slice that holds all tasks of the gang.
         quota
-            Cpus and gpus that the team's tasks may use in the shard, in fixed point; only the cpus
-            are checked.
+            Cpus and gpus that the team's tasks may use in the shard, in fixed point.
         survey
             The survey of the shard for the current pass.
         """
@@ -156,8 +210,7 @@
         if plan is None:
             return False
         shard.stop_tasks(plan.quota_victims, StopReason.PREEMPTED)
-        heartbeat_s = self._context.settings.cluster.workers.report_s
-        expires_at = self._context.now + CLAIM_TTL_INTERVALS * heartbeat_s
+        expires_at = self._context.now + self._claim_ttl_s()
         for cleared in plan.machines:
             self.claims[cleared.machine.name] = Claim(job, expires_at)
             shard.stop_tasks(cleared.victims, StopReason.PREEMPTED)
@@ -172,8 +225,13 @@
         The machines on which the least work would be lost are chosen first. If stopping their tasks
         frees too little cpu quota, more tasks of the gang's own team are chosen.
         """
+        if not self._may_claim(gang.spec.id):
+            return None
         team, rank = gang.spec.team, PRIORITY_RANKS[gang.spec.priority]
-        used_cpus = shard.usage(team)[0]
+        used_cpus, used_gpus = shard.usage(team)[:2]
+        if used_gpus + gang.pending.count * gang.resources[1] > quota[1]:
+            # No tasks are stopped to free quota of gpus.
+            return None
         needed_cpus = gang.pending.count * gang.resources[0]
         if quota[0] + survey.preemptible_cpus(team, rank) < used_cpus + needed_cpus:
             return None
@@ -192,14 +250,30 @@
     def _cheapest_machines(
         self, shard: Shard, gang: JobSlice, rank: int, survey: PreemptionSurvey
     ) -> list[_ClearedMachine] | None:
-        """Choose machines on which the least work is lost.
+        """Choose machines on which the least work is lost, within the job's zone limits.
 
-        Returns None if the gang does not fit on the candidate machines even after preemption.
+        For a job that needs a single zone, the first zone by name that suffices is used. Returns
+        None if the gang does not fit on the candidate machines even after preemption.
         """
-        lacking_tasks = gang.pending.count
-        chosen: list[_ClearedMachine] = []
         candidates = self._candidate_machines(gang, rank, survey)
         candidates.sort(key=lambda candidate: (candidate.lost_work, candidate.machine.name))
+        if not gang.spec.single_zone:
+            return self._machines_among(candidates, shard, gang, rank)
+        for zone in sorted({candidate.machine.zone for candidate in candidates}):
+            in_zone = [candidate for candidate in candidates if candidate.machine.zone == zone]
+            chosen = self._machines_among(in_zone, shard, gang, rank)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _machines_among(
+        self, candidates: list[_CandidateMachine], shard: Shard, gang: JobSlice, rank: int
+    ) -> list[_ClearedMachine] | None:
+        """Choose the first machines that hold the gang after preemption; None if too few do."""
+        lacking_tasks = gang.pending.count
+        chosen: list[_ClearedMachine] = []
+        max_per_zone = max_tasks_per_zone(gang.spec)
+        chosen_by_zone: Counter[str] = Counter()
         for candidate in candidates:
             if lacking_tasks <= 0:
                 break
@@ -213,8 +287,10 @@
                     continue
                 victims = preemptible_tasks(shard, machine, rank)
                 fits = count_fitting_tasks(free_after_removal(machine, victims), gang.resources)
-            if fits:
+            fits = min(fits, max_per_zone - chosen_by_zone[machine.zone])
+            if fits > 0:
                 chosen.append(_ClearedMachine(machine, victims))
+                chosen_by_zone[machine.zone] += fits
                 lacking_tasks -= fits
         return chosen if lacking_tasks <= 0 else None
 
@@ -224,10 +300,12 @@
         """Return the machines that a gang could use according to the survey."""
         candidates: list[_CandidateMachine] = []
         spec, resources = gang.spec, gang.resources
+        avoided = self._failures.avoided_machines(spec.id, self._context.now)
         for surveyed in survey.machines(rank):
             machine = surveyed.machine
             if (
                 surveyed.free_after[0] < resources[0]
+                or machine.name in avoided
                 or self.is_claimed(machine, spec.id)
                 or not may_run_on_machine(spec, machine)
             ):
--- a/marblestair/core/scheduling/services.py
+++ b/marblestair/core/scheduling/services.py
@@ -66,6 +66,7 @@
             self._leadership_services.leadership,
             self.arrivals,
             self.fleet_plan,
+            self.failures,
         )
         self.dispatcher = Dispatcher(
             self._context,
--- a/tests/core/scheduling/test_preemption.py
+++ b/tests/core/scheduling/test_preemption.py
@@ -4,10 +4,19 @@
 
 from collections.abc import Callable, Sequence
 
+import pytest
+
 from marblestair.core.domain.agents import CommandVerb, TaskCommand
 from tests.fakes.samples import job_spec, wait_objective
 from tests.helpers import start_deployment
-from tests.scenarios.fleets import FLEET_AGENTS, TEAM_NAMES, large_fleet, submit_arrays
+from tests.scenarios.fleets import (
+    FLEET_AGENTS,
+    TEAM_NAMES,
+    large_fleet,
+    medium_fleet,
+    submit_arrays,
+    whole_machine_gang,
+)
 
 
 def test_a_latency_sensitive_gang_of_higher_priority_preempts_arrays() -> None:
@@ -149,3 +158,60 @@
     assert sorted(waits)[3] < 0.4 * FLEET_AGENTS["report_s"]
     assert all(deployment.users.wait_until_done(job, 600.0) for job in arrays)
     assert not deployment.rules.violations
+
+
+@pytest.mark.parametrize(
+    ("single_zone", "spread_zones"), [(True, False), (False, True), (False, False)]
+)
+def test_preemption_clears_machines_on_which_the_gang_can_start(
+    single_zone: bool, spread_zones: bool
+) -> None:
+    """Guards against machines that are cleared again and again for a gang that cannot use them.
+
+    The machines on which the least work is lost lie in the wrong zones. They were claimed without
+    a bound in time: each claim expired before the gang could start, and was made once more.
+    """
+    deployment = medium_fleet(5, 1, 40, 400.0, zones=["a", "b"], objectives=[wait_objective(6.0)])
+    users, tasks = deployment.users, deployment.tasks
+    limits = {("m32", "a"): 2, ("m32", "b"): 2, ("m16", "a"): 0, ("m16", "b"): 0}
+    deployment.cloud.capacity_by_kind.update(limits)
+    # Least work is lost in both zones for a gang that needs one zone, and else in zone a.
+    oldest = ("a", "b") if single_zone else ("b", "b")
+    arrays = []
+    for number, zone in enumerate([*oldest, *(["a", "b"] if single_zone else ["a", "a"])], 1):
+        spec = job_spec(number, task_count=32, zone=zone, estimated_run_s=900.0, mem_gb=0.5)
+        arrays.append(users.submit(spec))
+        assert deployment.run_until(lambda count=32 * number: len(tasks.starts) == count, 60.0)
+        deployment.run(10.0)
+    gang = users.submit(
+        whole_machine_gang(
+            9,
+            team="blue",
+            job_class="g",
+            priority="high",
+            task_count=2,
+            single_zone=single_zone,
+            spread_zones=spread_zones,
+        )
+    )
+    assert deployment.run_until(lambda: tasks.has_started(gang), 20.0)
+    assert users.wait_until_done(gang, 60.0)
+    assert not deployment.rules.violations
+
+
+def test_a_gang_whose_claims_expire_leaves_the_machines_to_other_work() -> None:
+    """Guards against claims that are renewed without end while their gang cannot start."""
+    deployment = medium_fleet(6, 1, 40, 400.0, objectives=[wait_objective(6.0)])
+    limits = {("m32", "a"): 1, ("m32", "b"): 0, ("m16", "a"): 0, ("m16", "b"): 0}
+    deployment.cloud.capacity_by_kind.update(limits)
+    users, tasks = deployment.users, deployment.tasks
+    array = users.submit(job_spec(1, task_count=64, estimated_run_s=300.0, mem_gb=0.5))
+    assert deployment.run_until(lambda: len(tasks.starts_of(array)) == 32, 60.0)
+    # The placement of gangs fails for a reason that preemption does not know of.
+    placement = deployment.nodes.current("n0").scheduling_services.dispatcher._placement
+    placement.place_gang = lambda *arguments: False  # type: ignore[method-assign]
+    users.submit(whole_machine_gang(9, team="blue", job_class="g", priority="high", task_count=1))
+    starts_before = len(tasks.starts_of(array))
+    deployment.run(100.0)
+    assert deployment.logged("makes no claims")
+    assert len(tasks.starts_of(array)) > starts_before
