The plan is revised while the cloud does not answer

Cause: the plan was computed between two requests to the cloud, and a request is repeated until the cloud answers. So nothing in the plan, the reservations included, changed meanwhile.

Change: a leader computes the plan anew if it is older than two scaling cycles.

--- a/marblestair/core/capacity/fleet.py
+++ b/marblestair/core/capacity/fleet.py
@@ -28,6 +28,8 @@
 MAX_RENTED_MACHINES = 50
 #: mean pause between two scaling cycles: normally, and after a refusal during an urgent shortfall
 CYCLE_PAUSE_S, SHORTFALL_PAUSE_S = 1.0, 0.1
+#: age from which on the plan is computed anew although no scaling cycle needs it
+MAX_PLAN_AGE_S = 2 * CYCLE_PAUSE_S
 #: minimum time for which a machine must have been surplus before it is emptied, in boot times of
 #: its type; if the demand rises again after that, tasks must wait for a new machine to boot
 MIN_SURPLUS_BOOT_TIMES = 2.0
@@ -69,6 +71,7 @@
     def manage_shard(self, shard: Shard) -> Coroutine[None]:
         """Run the scaling cycles of a shard as long as this node leads it."""
         self._context.spawn(self._rentals.finish_recorded(shard))
+        self._context.spawn(self._keep_plan_current(shard))
         pause_s = CYCLE_PAUSE_S
         while self._leadership.shards.get(shard.shard_id) is shard:
             yield Sleep(pause_s * (0.8 + 0.4 * self._context.rng.random()))
@@ -77,6 +80,22 @@
                 continue
             pause_s = yield from self._scale(shard)
 
+    def _keep_plan_current(self, shard: Shard) -> Coroutine[None]:
+        """Compute the plan while the scaling cycle waits for the cloud.
+
+        Otherwise, machines would stay reserved by an old plan as long as the cloud does not answer.
+        """
+        while self._leadership.shards.get(shard.shard_id) is shard:
+            yield Sleep(CYCLE_PAUSE_S)
+            plan_age_s = self._context.now - self._planner.computed_at
+            if (
+                plan_age_s > MAX_PLAN_AGE_S
+                and self._leadership.is_leader(shard.shard_id)
+                and self._catalog.types
+                and not shard.unreconciled_machines
+            ):
+                self._planner.compute()
+
     def _scale(self, shard: Shard) -> Coroutine[float]:
         """Run one scaling cycle of a shard; return the pause until the next one in seconds."""
         now = self._context.now
--- a/tests/scenarios/test_reservations.py
+++ b/tests/scenarios/test_reservations.py
@@ -195,3 +195,22 @@
     assert not any(deployment.tasks.has_started(job) for job in older)
     assert all(deployment.tasks.has_started(job) for job in younger)
     assert not deployment.rules.violations
+
+
+def test_machines_are_not_kept_by_an_old_plan_while_the_cloud_does_not_answer() -> None:
+    """Guards against reservations that nobody revises during an outage of the cloud.
+
+    The plan was computed only between two requests to the cloud, and these are repeated until the
+    cloud answers.
+    """
+    deployment = start_fleet(3, 4)
+    done = submit_stream(deployment, 1, 3, 0.0, 20.0)
+    assert all(deployment.users.wait_until_done(job, 60.0) for job in done)
+    deployment.cloud.is_down = True
+    deployment.rules.failures_ended_at = deployment.now
+    deployment.users.submit(whole_machine_gang(5, team="blue", task_count=4))
+    deployment.run(6.0)
+    small = submit_stream(deployment, 10, 3, 0.0, 10.0)
+    deployment.run(MAX_WAIT_S)
+    assert all(deployment.tasks.has_started(job) for job in small)
+    assert not deployment.rules.violations
