A heartbeat from before a machine's restart is never the newest

What callers saw (simulated): a task ran on two machines at once. A machine and a controller had returned within a second, and a late copy of a heartbeat from before the machine's restart arrived.

Cause: of two heartbeats the one with the higher incarnation and sequence number counted as newer. A machine that restarts may count both anew, and a new leader knows none of the earlier heartbeats. So the copy passed for the newest one. It did not list the tasks that had been started since, and these were started elsewhere.

Change: the highest fencing token that a machine has reported is kept, and a heartbeat with a lower one is rejected. An agent's tokens never decrease, and each new leader has a higher one. Once the agent's lease has expired, its tasks are gone from it, and any token counts again.

The simulated agent now has one heartbeat in flight, as the interface says: after an expired lease or a restart it had sent two streams of heartbeats."

--- a/marblestair/core/shard/heartbeats.py
+++ b/marblestair/core/shard/heartbeats.py
@@ -47,10 +47,14 @@
 
     A machine is not answered if it is decommissioned or being released, or if the heartbeat has a
     later fencing token than the shard's term. Heartbeats of incarnations whose leases have expired
-    are rejected too.
+    are rejected too, and so are those with a lower fencing token than an accepted one. The tokens
+    of an agent never decrease, but a machine that restarts may begin its other counters anew. A
+    heartbeat from before the restart then seems to be the newest one.
     """
     if machine.is_decommissioned or machine.is_releasing or heartbeat.fencing_token > shard.term:
         return False
+    if heartbeat.fencing_token < machine.fencing_token:
+        return False
     # A late duplicate is rejected: its task list is stale, and the agent no longer waits for the
     # response.
     return heartbeat.agent_incarnation >= machine.min_incarnation and (
@@ -75,6 +79,7 @@
         is_frequent, is_new_incarnation, RECOVERY_LEASE_SHARE * agents.lease_s, now
     )
     machine.sequence = heartbeat.sequence
+    machine.fencing_token = heartbeat.fencing_token
     machine.last_heartbeat_at = now
     machine.reclaim_at = None if heartbeat.reclaim_in_s is None else now + heartbeat.reclaim_in_s
 
--- a/marblestair/core/shard/machine.py
+++ b/marblestair/core/shard/machine.py
@@ -104,6 +104,8 @@
         #: rejected; incarnation 0 means that no heartbeat has arrived
         self.agent_incarnation = 0
         self.sequence = -1
+        #: highest fencing token of the accepted heartbeats since the agent's lease last expired
+        self.fencing_token = 0
         #: the leases of agent incarnations below this one have expired
         self.min_incarnation = 0
         #: the shard's term when the machine joined it
@@ -229,6 +231,8 @@
         that they list are not adopted again.
         """
         self.responsiveness.mark_lease_expired(now)
+        # An agent that began anew has seen no token yet.
+        self.fencing_token = 0
         self.min_incarnation = self.agent_incarnation + 1 if self.agent_incarnation else 0
 
     def last_seen_at(self, acquired_at: float) -> float:
--- a/tests/core/shard/test_heartbeat_duplicates.py
+++ b/tests/core/shard/test_heartbeat_duplicates.py
@@ -114,3 +114,29 @@
     assert machine.is_lease_expired
     assert shard.slices[job].placed_on == placed_on
     assert not deployment.rules.violations
+
+
+def test_a_duplicate_from_before_a_restart_of_its_machine_ends_no_task() -> None:
+    """Guards against a task that runs twice after a machine and a controller returned at once.
+
+    The restarted machine counts its heartbeats anew, and the new leader knows none of the earlier
+    ones. A late duplicate from before the restart has the higher sequence number, and does not
+    list what the machine runs now.
+    """
+    deployment = start_deployment(69)
+    job = deployment.users.submit(job_spec(1, task_count=6, estimated_run_s=90.0))
+    deployment.run(20.0)
+    agent = deployment.busy_agents[0]
+    old_heartbeat = msgspec.structs.replace(agent.next_heartbeat(), tasks=[])
+    agent.reboot()
+    deployment.nodes.kill_all(restart_after_s=0.5)
+    assert deployment.run_until(lambda: bool(agent.live_tasks), 60.0)
+    deployment.run(3.0)
+    controller, shard = shard_with_machine(deployment, agent.name)
+    machine = shard.machines[agent.name]
+    assert machine.sequence < old_heartbeat.sequence
+    placed = set(machine.tasks)
+    deployment.agent_link.deliver_duplicate(controller.context.node, old_heartbeat)
+    assert set(machine.tasks) == placed
+    assert deployment.users.wait_until_done(job, 400.0)
+    assert not deployment.rules.violations
--- a/tests/fakes/agent.py
+++ b/tests/fakes/agent.py
@@ -95,6 +95,9 @@
         self._node_index = 0
         #: number of the latest heartbeat; responses to earlier ones are ignored
         self._heartbeat_number = 0
+        #: number of the latest scheduled heartbeat; earlier ones are not sent, so that only one
+        #: heartbeat is in flight at a time
+        self._schedule_number = 0
         #: time at which the cloud reclaims a spot machine; None: no reclaim announced
         self.reclaim_at: float | None = None
         #: whether each task exits with an error as soon as it starts
@@ -170,13 +173,24 @@
             tasks,
         )
 
+    def _schedule_heartbeat(self, delay_s: float) -> None:
+        """Send the next heartbeat after a delay, in place of one that was scheduled before."""
+        self._schedule_number += 1
+        number = self._schedule_number
+
+        def send() -> None:
+            if number == self._schedule_number:
+                self.send_heartbeat()
+
+        self.deployment.schedule(delay_s, send)
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat; its response or its timeout schedules the next one."""
         deployment = self.deployment
         if self.is_released:
             return
         if self.is_unresponsive:
-            deployment.schedule(UNRESPONSIVE_RETRY_S, self.send_heartbeat)
+            self._schedule_heartbeat(UNRESPONSIVE_RETRY_S)
             return
         heartbeat, sent_at = self.next_heartbeat(), deployment.now
         self._heartbeat_number += 1
@@ -203,7 +217,7 @@
         deployment = self.deployment
         self._heartbeat_number += 1
         if self.is_unresponsive:
-            deployment.schedule(UNRESPONSIVE_RETRY_S, self.send_heartbeat)
+            self._schedule_heartbeat(UNRESPONSIVE_RETRY_S)
             return
         names, leader = deployment.nodes.names, response.leader
         if response.status == 200:
@@ -213,17 +227,17 @@
                 self.lease_renewed_at = max(self.lease_renewed_at, sent_at)
                 self.execute_commands(response.commands)
             pause_s = deployment.rng.uniform(MIN_HEARTBEAT_PAUSE_S, MAX_HEARTBEAT_PAUSE_S)
-            deployment.schedule(pause_s, self.send_heartbeat)
+            self._schedule_heartbeat(pause_s)
         elif response.status == 421 and leader in names and leader != node:
             self._node_index = names.index(leader)
             pause_s = deployment.rng.uniform(0.0, MAX_REDIRECT_PAUSE_S)
-            deployment.schedule(pause_s, self.send_heartbeat)
+            self._schedule_heartbeat(pause_s)
         else:
             self._retry_at_next_node()
 
     def _retry_at_next_node(self) -> None:
         self._node_index += 1
-        self.deployment.schedule(NEXT_NODE_PAUSE_S, self.send_heartbeat)
+        self._schedule_heartbeat(NEXT_NODE_PAUSE_S)
 
     def receive_direct_commands(
         self, fencing_token: int, incarnation: int, commands: Sequence[TaskCommand]
@@ -299,16 +313,20 @@
         """If the lease has expired, drop all tasks and begin a new incarnation."""
         if self._is_lease_expired():
             self._begin_incarnation()
-            self.deployment.schedule(LEASE_LOST_PAUSE_S, self.send_heartbeat)
+            self._schedule_heartbeat(LEASE_LOST_PAUSE_S)
 
     def restart(self) -> None:
         """Restart the agent as a new incarnation without tasks."""
         self._begin_incarnation()
-        self.deployment.schedule(
-            self.deployment.rng.uniform(MIN_RESTART_PAUSE_S, MAX_RESTART_PAUSE_S),
-            self.send_heartbeat,
+        self._schedule_heartbeat(
+            self.deployment.rng.uniform(MIN_RESTART_PAUSE_S, MAX_RESTART_PAUSE_S)
         )
 
+    def reboot(self) -> None:
+        """Restart the machine: its tasks are gone, and its agent begins as on a new machine."""
+        self.restart()
+        self.incarnation, self.sequence, self.fencing_token = 1, 0, 0
+
     def _begin_incarnation(self) -> None:
         self.tasks = {}
         self.incarnation += 1
--- a/tests/fakes/agent_link.py
+++ b/tests/fakes/agent_link.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from marblestair.core.domain.agents import Heartbeat
+from marblestair.core.domain.agents import CommandVerb, Heartbeat
 from marblestair.core.runtime.outbox import DirectCommand
 from marblestair.core.runtime.requests import InspectAgent
 from marblestair.core.shard.heartbeat_response import HeartbeatResponse
@@ -22,6 +22,10 @@
 #: bounds of the delay of a duplicated heartbeat: in seconds, and in multiples of the lease
 MIN_DUPLICATE_DELAY_S = 2.0
 MAX_DUPLICATE_DELAY_LEASES = 3.5
+#: bounds of the delay of a copy of a response or of direct commands: in seconds, and in leases
+MIN_COPY_DELAY_S, MAX_COPY_DELAY_LEASES = 0.05, 2.5
+#: bounds of the delay of a late response, around the time that an agent waits for it
+MIN_LATE_RESPONSE_S, MAX_LATE_RESPONSE_S = 0.5, 5.0
 #: result of a heartbeat whose connection was refused
 CONNECTION_REFUSED = HeartbeatResponse(0)
 
@@ -33,6 +37,16 @@
         self._deployment = deployment
         #: ratio of heartbeats that are duplicated; a duplicate arrives late
         self.duplicate_ratio = 0.0
+        #: ratio of responses and of direct commands of which a copy arrives at the agent later
+        self.copy_ratio = 0.0
+        #: ratio of responses that arrive late
+        self.late_response_ratio = 0.0
+        #: number of start commands in the copies that reached an agent
+        self.copied_starts = 0
+
+    def end_failures(self) -> None:
+        """End the duplication and the delay of messages."""
+        self.duplicate_ratio = self.copy_ratio = self.late_response_ratio = 0.0
 
     def send_heartbeat(
         self, node: str, heartbeat: Heartbeat, respond: Callable[[HeartbeatResponse], None]
@@ -53,6 +67,7 @@
             deployment.nodes.report_heartbeat_response(node, response)
             deployment.rules.check_commands(node, response.commands)
             self._respond(node, heartbeat.machine, lambda: respond(response))
+            self._copy_response(heartbeat.machine, response, respond)
 
         if deployment.agents[heartbeat.machine].outbound_partitioned:
             return
@@ -70,8 +85,35 @@
         deployment = self._deployment
         if deployment.nodes.defer_while_frozen(node, lambda: self._respond(node, machine, deliver)):
             return
-        if not deployment.agents[machine].inbound_partitioned:
-            deployment.network.send(node, machine, deliver)
+        if deployment.agents[machine].inbound_partitioned:
+            return
+        if self.late_response_ratio and deployment.rng.random() < self.late_response_ratio:
+            delay_s = deployment.rng.uniform(MIN_LATE_RESPONSE_S, MAX_LATE_RESPONSE_S)
+            deployment.schedule(delay_s, deliver)
+            return
+        deployment.network.send(node, machine, deliver)
+
+    def _copy_response(
+        self,
+        machine: str,
+        response: HeartbeatResponse,
+        respond: Callable[[HeartbeatResponse], None],
+    ) -> None:
+        """Deliver a response to its agent once more after a random delay, at a random ratio."""
+
+        def deliver() -> None:
+            if self._deployment.agents[machine].is_serving:
+                starts = [item for item in response.commands if item.verb == CommandVerb.START]
+                self.copied_starts += len(starts)
+                respond(response)
+
+        self._schedule_copy(deliver)
+
+    def _schedule_copy(self, deliver: Callable[[], None]) -> None:
+        deployment = self._deployment
+        if self.copy_ratio and deployment.rng.random() < self.copy_ratio:
+            max_delay_s = MAX_COPY_DELAY_LEASES * deployment.lease_s
+            deployment.schedule(deployment.rng.uniform(MIN_COPY_DELAY_S, max_delay_s), deliver)
 
     def deliver_duplicate(self, node: str, heartbeat: Heartbeat) -> None:
         """Deliver a duplicate of a heartbeat to a node and discard the response."""
@@ -92,13 +134,13 @@
                 self._send_command(node, agent, command)
 
     def _send_command(self, node: str, agent: FakeAgent, command: DirectCommand) -> None:
-        self._deployment.network.send(
-            node,
-            agent.name,
-            lambda: agent.receive_direct_commands(
+        def deliver() -> None:
+            agent.receive_direct_commands(
                 command.fencing_token, command.agent_incarnation, command.commands
-            ),
-        )
+            )
+
+        self._deployment.network.send(node, agent.name, deliver)
+        self._schedule_copy(deliver)
 
     def inspect(self, node: str, request: InspectAgent, call: PendingCall) -> None:
         """Request a heartbeat from an agent; ``call`` receives it, or None after a timeout."""
--- a/tests/fakes/simulated_deployment.py
+++ b/tests/fakes/simulated_deployment.py
@@ -136,7 +136,7 @@
             self.store.end_outage()
         self.cloud.is_down = False
         self.store_link.end_failures()
-        self.agent_link.duplicate_ratio = 0.0
+        self.agent_link.end_failures()
         for agent in self.agents.values():
             agent.end_failures()
         for name in self.nodes.names:
