--- a/marblestair/core/controller.py
+++ b/marblestair/core/controller.py
@@ -214,7 +214,7 @@
         self.synchronizer.synchronize()
         self.coordinator.begin_failover_or_transfer(now)
         led_shards = self.leadership.led_shards()
-        self.scheduling_services.preemption.expire_claims()
+        self.scheduling_services.claims.expire()
         for shard in led_shards:
             self._update_shard(shard, now)
         self.job_services.job_managers.report_and_advance()
--- a/marblestair/core/scheduling/dispatch.py
+++ b/marblestair/core/scheduling/dispatch.py
@@ -14,6 +14,7 @@
 from marblestair.core.scheduling.best_effort import BestEffortTasks
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.guarantees import Guarantees
 from marblestair.core.scheduling.machine_filling import MachineFilling
 from marblestair.core.scheduling.pending_queue import PendingQueue
@@ -43,6 +44,7 @@
         arrivals: Arrivals,
         fleet_plan: FleetPlan,
         preemption: Preemption,
+        claims: GangClaims,
         precedence: QuotaPrecedence,
         dependencies: DependencyGraph,
         deadline_offsets_s: dict[str, float],
@@ -52,14 +54,15 @@
         self._guarantees = guarantees
         self._arrivals = arrivals
         self._preemption = preemption
+        self._claims = claims
         self._scheduling_order = SchedulingOrder(
             context, failures, run_times, guarantees, fleet_plan, dependencies, deadline_offsets_s
         )
         self._placement = SlicePlacement(
-            context, quotas, failures, guarantees, fleet_plan, preemption, precedence
+            context, quotas, failures, guarantees, fleet_plan, claims, precedence
         )
         self._starvation = StarvationPrevention(context, quotas, failures, self._placement)
-        self._filling = MachineFilling(context, failures, fleet_plan, preemption, self._placement)
+        self._filling = MachineFilling(context, failures, fleet_plan, claims, self._placement)
         #: shard -> queue of the shard's latest pass; no entry if no task was pending at that pass
         self._queues: dict[int, PendingQueue] = {}
         #: shards that got new pending tasks after their latest pass; the next heartbeat of any
@@ -88,6 +91,7 @@
             self._guarantees,
             self._arrivals,
             self._preemption,
+            self._claims,
             BestEffortTasks(self._context, shard),
         )
         placement_pass.run(queue)
@@ -97,7 +101,7 @@
 
         The result's ``free`` lists those of them with at least ``min_cpus`` unused cpus.
         """
-        now, claims = self._context.now, self._preemption.claims
+        now, claims = self._context.now, self._claims.by_machine
         usable = [
             machine
             for machine in shard.machines.values()
--- a/marblestair/core/scheduling/machine_filling.py
+++ b/marblestair/core/scheduling/machine_filling.py
@@ -11,8 +11,8 @@
 from marblestair.core.runtime.context import NodeContext
 from marblestair.core.scheduling.array_placement import CandidateMachines
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.pending_queue import PendingQueue
-from marblestair.core.scheduling.preemption import Preemption
 from marblestair.core.scheduling.scheduling_order import is_pending
 from marblestair.core.scheduling.slice_placement import ReservedQuota, SlicePlacement
 from marblestair.core.shard.failures import FailureAttribution
@@ -29,13 +29,13 @@
         context: NodeContext,
         failures: FailureAttribution,
         fleet_plan: FleetPlan,
-        preemption: Preemption,
+        claims: GangClaims,
         placement: SlicePlacement,
     ) -> None:
         self._context = context
         self._failures = failures
         self._fleet_plan = fleet_plan
-        self._preemption = preemption
+        self._claims = claims
         self._placement = placement
 
     def fill(self, shard: Shard, machine: Machine, queue: PendingQueue) -> None:
@@ -46,7 +46,7 @@
         """
         if not machine.is_usable(self._context.now):
             return
-        claim = self._preemption.claims.get(machine.name)
+        claim = self._claims.by_machine.get(machine.name)
         if claim is not None:
             # Launch the gang for which the machine was cleared, if all its tasks fit by now.
             gang = shard.slices.get(claim.job)
--- a/marblestair/core/scheduling/machine_transfers.py
+++ b/marblestair/core/scheduling/machine_transfers.py
@@ -21,13 +21,13 @@
 )
 from marblestair.core.scheduling.dispatch import Dispatcher
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.placement import (
     capacity_by_zone,
     gang_fits,
     may_run_on_machine,
     tasks_that_fit,
 )
-from marblestair.core.scheduling.preemption import Preemption
 from marblestair.core.shard.failures import FailureAttribution
 from marblestair.core.shard.job_slice import JobSlice
 from marblestair.core.shard.machine import CordonReason, Machine
@@ -59,7 +59,7 @@
         summaries: ReceivedSummaries,
         failures: FailureAttribution,
         fleet_plan: FleetPlan,
-        preemption: Preemption,
+        claims: GangClaims,
         dispatcher: Dispatcher,
     ) -> None:
         self._context = context
@@ -70,7 +70,7 @@
         self._summaries = summaries
         self._failures = failures
         self._fleet_plan = fleet_plan
-        self._preemption = preemption
+        self._claims = claims
         self._dispatcher = dispatcher
         self._is_in_progress = False
 
@@ -180,7 +180,7 @@
         unclaimed = [
             machine
             for machine in idle
-            if _is_suitable(machine, spec) and not self._preemption.is_claimed(machine, spec.id)
+            if _is_suitable(machine, spec) and not self._claims.is_claimed(machine, spec.id)
         ]
         if spec.single_zone and unclaimed:
             zone = self._zone_with_most_capacity(spec, summary)
--- a/marblestair/core/scheduling/placement_pass.py
+++ b/marblestair/core/scheduling/placement_pass.py
@@ -8,6 +8,7 @@
 from marblestair.core.scheduling.array_placement import CandidateMachines
 from marblestair.core.scheduling.arrivals import Arrivals
 from marblestair.core.scheduling.best_effort import BestEffortTasks
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.guarantees import Guarantees
 from marblestair.core.scheduling.pending_queue import PendingQueue
 from marblestair.core.scheduling.preemption import Preemption
@@ -33,6 +34,7 @@
         guarantees: Guarantees,
         arrivals: Arrivals,
         preemption: Preemption,
+        claims: GangClaims,
         best_effort_tasks: BestEffortTasks,
     ) -> None:
         self._shard = shard
@@ -42,6 +44,7 @@
         self._guarantees = guarantees
         self._arrivals = arrivals
         self._preemption = preemption
+        self._claims = claims
         self._survey = preemption.survey(shard)
         self._best_effort_tasks = best_effort_tasks
         self._reserved_quota = ReservedQuota()
@@ -92,7 +95,7 @@
             quota = self._placement.available_quota(shard, gang, reserved)
             if self._preemption.preempt_for(shard, gang, quota, self._survey):
                 # Slices later in the queue must not use the machines that are being cleared.
-                self._exclude(self._preemption.claims)
+                self._exclude(self._claims.by_machine)
         self._placement.reserve_quota(gang, reserved)
 
     def _exclude(self, names: Container[str]) -> None:
--- a/marblestair/core/scheduling/preemption.py
+++ b/marblestair/core/scheduling/preemption.py
@@ -1,22 +1,18 @@
 """Preemption: stops other tasks so that a latency-sensitive gang can start.
 
-The gang gets a claim on each machine that is cleared for it. The claims keep arrays from using
-freed capacity while other tasks are still being stopped, and keep two gangs from waiting for the
-same machine.
+The gang claims each machine that is cleared for it (``GangClaims``).
 """
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 
 import msgspec
 
 from marblestair.core.domain.jobs import PRIORITY_RANKS
-from marblestair.core.leadership.leadership import Leadership
 from marblestair.core.runtime.context import NodeContext
 from marblestair.core.scheduling.arrivals import Arrivals
-from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.placement import FreeCapacity, may_run_on_machine, tasks_that_fit
 from marblestair.core.scheduling.preemption_survey import (
     PreemptionSurvey,
@@ -29,31 +25,6 @@
 from marblestair.core.shard.job_slice import JobSlice
 from marblestair.core.shard.machine import Machine, PlacedTask, StopReason
 from marblestair.core.shard.shard import Shard
-from marblestair.core.state.store_view import StoreView
-
-#: time after which a claim expires even if its gang has not started, in heartbeat intervals
-CLAIM_TTL_INTERVALS = 6.0
-#: number of times in a row that a gang's claims may expire before the gang has started; the gang
-#: then makes no claims for as long as a claim lasts, so that other work gets the cleared machines
-MAX_EXPIRED_ROUNDS = 2
-
-
-class Claim(msgspec.Struct):
-    """A gang's claim on a machine that is being cleared for it."""
-
-    job: str
-    #: monotonic time in seconds
-    expires_at: float
-
-
-class _ExpiredClaims(msgspec.Struct):
-    """How often the claims of a gang that is still pending have expired."""
-
-    rounds: int = 0
-    #: monotonic time of the latest expiry
-    latest_at: float = -math.inf
-    #: monotonic time until which the gang makes no claims
-    paused_until: float = -math.inf
 
 
 class _ClearedMachine(msgspec.Struct):
@@ -80,97 +51,19 @@
 
 
 class Preemption:
-    """Chooses the tasks to preempt in one node's shards, and holds the claims on machines."""
+    """Chooses the tasks to preempt in one node's shards."""
 
-    def __init__(  # noqa: PLR0913 - injected components
+    def __init__(
         self,
         context: NodeContext,
-        view: StoreView,
-        leadership: Leadership,
         arrivals: Arrivals,
-        fleet_plan: FleetPlan,
         failures: FailureAttribution,
+        claims: GangClaims,
     ) -> None:
         self._context = context
-        self._view = view
-        self._leadership = leadership
         self._arrivals = arrivals
-        self._fleet_plan = fleet_plan
         self._failures = failures
-        #: machine -> its claim
-        self.claims: dict[str, Claim] = {}
-        #: gang -> its expired claims
-        self._expired: dict[str, _ExpiredClaims] = {}
-
-    # --- claims ----------------------------------------------------------------------------
-
-    def is_claimed(self, machine: Machine, job: str = "") -> bool:
-        """Whether a machine is claimed by a job other than ``job``.
-
-        If the machine has no claim: whether the fleet plan reserves the machine for a live job
-        other than ``job``.
-        """
-        claim = self.claims.get(machine.name)
-        if claim is not None:
-            return claim.job != job
-        reserved_for = self._fleet_plan.reserved_machines.get(machine.name, "")
-        return reserved_for not in ("", job) and reserved_for in self._view.jobs
-
-    def machines_claimed_for(self, shard: Shard, job: str) -> list[Machine]:
-        """Return the machines of a shard that a job claims."""
-        names = [name for name, claim in self.claims.items() if claim.job == job]
-        return [shard.machines[name] for name in names if name in shard.machines]
-
-    def expire_claims(self) -> None:
-        """Remove claims that have expired, and those of jobs that have started or ended.
-
-        Claims are also removed if no shard of this node has both the machine and the gang.
-        """
-        for name, claim in list(self.claims.items()):
-            is_pending = any(
-                name in shard.machines and self._is_pending(shard, claim.job)
-                for shard in self._leadership.shards.values()
-            )
-            if not is_pending:
-                del self.claims[name]
-            elif self._context.now > claim.expires_at:
-                del self.claims[name]
-                self._record_expiry(claim.job)
-        for job in list(self._expired):
-            if not any(self._is_pending(shard, job) for shard in self._leadership.shards.values()):
-                del self._expired[job]
-
-    def _is_pending(self, shard: Shard, gang: str) -> bool:
-        """Whether a shard has a gang without placed tasks."""
-        job_slice = shard.slices.get(gang)
-        return job_slice is not None and not job_slice.placed_on
-
-    def _record_expiry(self, gang: str) -> None:
-        """Count a round of expired claims; all claims of a round expire at the same time."""
-        now = self._context.now
-        expired = self._expired.setdefault(gang, _ExpiredClaims())
-        if expired.latest_at == now:
-            return
-        expired.latest_at = now
-        expired.rounds += 1
-        if expired.rounds >= MAX_EXPIRED_ROUNDS:
-            expired.rounds = 0
-            expired.paused_until = now + self._claim_ttl_s()
-            self._context.log(
-                "info",
-                f"gang {gang} makes no claims for {self._claim_ttl_s():.0f} s:"
-                f" its claims expired {MAX_EXPIRED_ROUNDS} times before it could start",
-            )
-
-    def _may_claim(self, gang: str) -> bool:
-        expired = self._expired.get(gang)
-        return expired is None or self._context.now >= expired.paused_until
-
-    def _claim_ttl_s(self) -> float:
-        return CLAIM_TTL_INTERVALS * self._context.settings.cluster.workers.report_s
-
-    def _has_claims(self, job: str) -> bool:
-        return any(claim.job == job for claim in self.claims.values())
+        self._claims = claims
 
     # --- preemption for gangs --------------------------------------------------------------
 
@@ -194,7 +87,10 @@
         survey
             The survey of the shard for the current pass.
         """
-        return self._has_claims(gang.spec.id) or self._plan(shard, gang, quota, survey) is not None
+        return (
+            self._claims.has_claims(gang.spec.id)
+            or self._plan(shard, gang, quota, survey) is not None
+        )
 
     def preempt_for(
         self, shard: Shard, gang: JobSlice, quota: tuple[int, int], survey: PreemptionSurvey
@@ -204,15 +100,14 @@
         The parameters are those of :meth:`can_preempt_for`. Returns whether the gang has claims.
         """
         job = gang.spec.id
-        if self._has_claims(job):
+        if self._claims.has_claims(job):
             return True
         plan = self._plan(shard, gang, quota, survey)
         if plan is None:
             return False
         shard.stop_tasks(plan.quota_victims, StopReason.PREEMPTED)
-        expires_at = self._context.now + self._claim_ttl_s()
+        self._claims.claim(job, [cleared.machine for cleared in plan.machines])
         for cleared in plan.machines:
-            self.claims[cleared.machine.name] = Claim(job, expires_at)
             shard.stop_tasks(cleared.victims, StopReason.PREEMPTED)
         survey.invalidate_team(gang.spec.team)
         return True
@@ -225,7 +120,7 @@
         The machines on which the least work would be lost are chosen first. If stopping their tasks
         frees too little cpu quota, more tasks of the gang's own team are chosen.
         """
-        if not self._may_claim(gang.spec.id):
+        if not self._claims.may_claim(gang.spec.id):
             return None
         team, rank = gang.spec.team, PRIORITY_RANKS[gang.spec.priority]
         used_cpus, used_gpus = shard.usage(team)[:2]
@@ -306,7 +201,7 @@
             if (
                 surveyed.free_after[0] < resources[0]
                 or machine.name in avoided
-                or self.is_claimed(machine, spec.id)
+                or self._claims.is_claimed(machine, spec.id)
                 or not may_run_on_machine(spec, machine)
             ):
                 continue
@@ -339,7 +234,7 @@
             if (
                 not machine.tasks
                 or not machine.is_usable(self._context.now)
-                or self.is_claimed(machine)
+                or self._claims.is_claimed(machine)
                 or not any(may_run_on_machine(spec, machine) for spec in specs)
             ):
                 continue
--- a/marblestair/core/scheduling/services.py
+++ b/marblestair/core/scheduling/services.py
@@ -12,6 +12,7 @@
 from marblestair.core.scheduling.dispatch import Dispatcher
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.guarantees import Guarantees
 from marblestair.core.scheduling.inherited_urgency import InheritedUrgency
 from marblestair.core.scheduling.machine_transfers import MachineTransfers
@@ -61,14 +62,10 @@
         self._create_transfers()
 
     def _create_placement(self, deadline_offsets_s: dict[str, float]) -> None:
-        self.preemption = Preemption(
-            self._context,
-            self._view,
-            self._leadership_services.leadership,
-            self.arrivals,
-            self.fleet_plan,
-            self.failures,
+        self.claims = GangClaims(
+            self._context, self._view, self._leadership_services.leadership, self.fleet_plan
         )
+        self.preemption = Preemption(self._context, self.arrivals, self.failures, self.claims)
         self.precedence = QuotaPrecedence(
             self._context, self._view, self._summaries, self.fleet_plan
         )
@@ -81,6 +78,7 @@
             self.arrivals,
             self.fleet_plan,
             self.preemption,
+            self.claims,
             self.precedence,
             self._jobs.dependencies,
             deadline_offsets_s,
@@ -97,7 +95,7 @@
             self._summaries,
             self.failures,
             self.fleet_plan,
-            self.preemption,
+            self.claims,
             self.dispatcher,
         )
         self.summarizer = ShardSummarizer(
@@ -106,6 +104,7 @@
             self.failures,
             self.boot_times,
             self.preemption,
+            self.claims,
             self.dispatcher,
             self.machine_transfers,
             self.fleet_plan,
--- a/marblestair/core/scheduling/shard_summarizer.py
+++ b/marblestair/core/scheduling/shard_summarizer.py
@@ -11,6 +11,7 @@
 from marblestair.core.scheduling.dispatch import Dispatcher
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.machine_transfers import MachineTransfers
 from marblestair.core.scheduling.placement import FreeCapacity
 from marblestair.core.scheduling.preemption import Preemption
@@ -45,6 +46,7 @@
         failures: FailureAttribution,
         boot_times: BootTimes,
         preemption: Preemption,
+        claims: GangClaims,
         dispatcher: Dispatcher,
         machine_transfers: MachineTransfers,
         fleet_plan: FleetPlan,
@@ -54,6 +56,7 @@
         self._failures = failures
         self._boot_times = boot_times
         self._preemption = preemption
+        self._claims = claims
         self._dispatcher = dispatcher
         self._machine_transfers = machine_transfers
         self._fleet_plan = fleet_plan
@@ -111,7 +114,7 @@
             for machine in shard.machines.values()
             if machine.free[0] > 0
             and machine.is_usable(self._context.now)
-            and not self._preemption.is_claimed(machine)
+            and not self._claims.is_claimed(machine)
         ]
 
     def _free_quota(self, shard: Shard) -> dict[str, list[int]]:
--- a/marblestair/core/scheduling/slice_placement.py
+++ b/marblestair/core/scheduling/slice_placement.py
@@ -12,9 +12,9 @@
 )
 from marblestair.core.scheduling.effective_quotas import EffectiveQuotas
 from marblestair.core.scheduling.fleet_plan import FleetPlan
+from marblestair.core.scheduling.gang_claims import GangClaims
 from marblestair.core.scheduling.gang_placement import place_gang
 from marblestair.core.scheduling.guarantees import Guarantees
-from marblestair.core.scheduling.preemption import Preemption
 from marblestair.core.scheduling.quota_precedence import QuotaPrecedence
 from marblestair.core.shard.failures import FailureAttribution
 from marblestair.core.shard.job_slice import JobSlice
@@ -50,7 +50,7 @@
         failures: FailureAttribution,
         guarantees: Guarantees,
         fleet_plan: FleetPlan,
-        preemption: Preemption,
+        claims: GangClaims,
         precedence: QuotaPrecedence,
     ) -> None:
         self._context = context
@@ -58,7 +58,7 @@
         self._failures = failures
         self._guarantees = guarantees
         self._fleet_plan = fleet_plan
-        self._preemption = preemption
+        self._claims = claims
         self._precedence = precedence
 
     def is_deferred(self, job_slice: JobSlice) -> bool:
@@ -174,7 +174,7 @@
         if free is not None:
             options += [
                 machine
-                for machine in self._preemption.machines_claimed_for(shard, job)
+                for machine in self._claims.machines_claimed_for(shard, job)
                 if machine not in options
             ]
         is_launched = place_gang(
@@ -182,7 +182,7 @@
             gang,
             self.available_quota(shard, gang, reserved),
             options,
-            self._preemption.is_claimed,
+            self._claims.is_claimed,
             self._context.now,
         )
         if is_launched:
--- a/tests/core/scheduling/test_gangs.py
+++ b/tests/core/scheduling/test_gangs.py
@@ -125,8 +125,8 @@
     controller.scheduling_services.fleet_plan.reserved_machines = {machine.name: older}
     free_cpus = machine.free[0]
     while_reserved = controller.scheduling_services.summarizer.summarize(shard).free_capacity
-    assert controller.scheduling_services.preemption.is_claimed(machine, "job-000003")
-    assert not controller.scheduling_services.preemption.is_claimed(machine, older)
+    assert controller.scheduling_services.claims.is_claimed(machine, "job-000003")
+    assert not controller.scheduling_services.claims.is_claimed(machine, older)
     controller.scheduling_services.fleet_plan.reserved_machines = {}
     # The summary for the other shards lists the machine only while it is not reserved.
     published = controller.scheduling_services.summarizer.summarize(shard).free_capacity
