--- a/tests/core/shard/test_failing_jobs.py
+++ b/tests/core/shard/test_failing_jobs.py
@@ -5,7 +5,8 @@
 import pytest
 
 from marblestair.core.domain.agents import TaskCommand
-from tests.fakes.agent import FakeAgent, FakeTask
+from tests.fakes.agent import FakeAgent
+from tests.fakes.agent_tasks import FakeTask
 from tests.fakes.samples import job_spec
 from tests.helpers import leader_of, start_deployment
 
--- a/tests/fakes/agent.py
+++ b/tests/fakes/agent.py
@@ -10,12 +10,11 @@
     ExitReason,
     Heartbeat,
     TaskCommand,
-    TaskState,
     TaskStatus,
 )
-from marblestair.core.domain.jobs import JobKind
 from marblestair.core.domain.machines import MachineType
 from marblestair.core.shard.heartbeat_response import HeartbeatResponse
+from tests.fakes.agent_tasks import FakeTask, advance_task
 
 if TYPE_CHECKING:
     from tests.fakes.simulated_deployment import SimulatedDeployment
@@ -40,28 +39,6 @@
 FAILING_CLASS = "bad"
 
 
-class FakeTask:
-    """One attempt of a task on an agent's machine."""
-
-    def __init__(self, job: str, index: int, attempt: int) -> None:
-        self.job, self.index, self.attempt = job, index, attempt
-        self.state = TaskState.FETCHING
-        self.exit_reason = ExitReason.NONE
-        self.remaining_s = 0.0
-        self.fetch_remaining_s = 0.0
-        #: time that the task has waited for the other tasks of its gang
-        self.gang_wait_s = 0.0
-
-    def exit(self, reason: ExitReason) -> None:
-        """End the task with an exit reason."""
-        self.state, self.exit_reason = TaskState.EXITED, reason
-
-    @property
-    def is_live(self) -> bool:
-        """Whether the task has not exited."""
-        return self.state != TaskState.EXITED
-
-
 class FakeAgent:
     """A rented machine with its agent.
 
@@ -344,50 +321,4 @@
             return
         self._check_lease()
         for task in list(self.tasks.values()):
-            if task.state == TaskState.FETCHING:
-                self._fetch(task)
-            elif task.state == TaskState.WAITING:
-                self._wait_for_gang(task)
-            elif task.state == TaskState.RUNNING:
-                self._run(task)
-
-    def _is_in_gang(self, task: FakeTask) -> bool:
-        return self.deployment.tasks.specs[task.job].kind == JobKind.GANG
-
-    def _fetch(self, task: FakeTask) -> None:
-        """Advance the fetch of a task's image; afterwards the task waits for its gang or runs."""
-        if task.fetch_remaining_s > 0.0:
-            task.fetch_remaining_s -= TASK_STEP_S
-        else:
-            task.state = TaskState.WAITING if self._is_in_gang(task) else TaskState.RUNNING
-
-    def _wait_for_gang(self, task: FakeTask) -> None:
-        """Run a gang once all its tasks wait; end the task when its gang stays incomplete."""
-        deployment = self.deployment
-        task.gang_wait_s += TASK_STEP_S
-        gang = deployment.tasks.gang(task)
-        is_complete = len(gang) == deployment.tasks.specs[task.job].task_count
-        if is_complete and all(member.task.state == TaskState.WAITING for member in gang):
-            for member in gang:
-                member.task.state = TaskState.RUNNING
-        elif task.gang_wait_s > deployment.agent_settings.gang_wait_s:
-            task.exit(ExitReason.GANG_INCOMPLETE)
-
-    def _run(self, task: FakeTask) -> None:
-        """Advance a running task; a gang makes progress only while all its members respond."""
-        task_history = self.deployment.tasks
-        gang = task_history.gang(task) if self._is_in_gang(task) else []
-        if self._is_in_gang(task) and (
-            len(gang) < task_history.specs[task.job].task_count
-            or any(member.agent.is_unresponsive for member in gang)
-        ):
-            task.gang_wait_s += TASK_STEP_S
-            if task.gang_wait_s > self.deployment.agent_settings.gang_peer_s:
-                task.exit(ExitReason.PEER_LOST)
-            return
-        task.gang_wait_s = 0.0
-        task.remaining_s -= TASK_STEP_S
-        if task.remaining_s <= 0:
-            for done in [member.task for member in gang] or [task]:
-                done.exit(ExitReason.DONE)
-                task_history.record_done(done)
+            advance_task(self.deployment, task, TASK_STEP_S)
--- a/tests/fakes/rules.py
+++ b/tests/fakes/rules.py
@@ -8,7 +8,8 @@
 from marblestair.core.domain.agents import CommandVerb, TaskCommand
 from marblestair.core.domain.jobs import FINAL_STATES, JobSpec, JobState
 from marblestair.core.runtime.outbox import UserReply
-from tests.fakes.agent import FakeAgent, FakeTask
+from tests.fakes.agent import FakeAgent
+from tests.fakes.agent_tasks import FakeTask
 from tests.fakes.waiting_rule import WaitingRule
 
 if TYPE_CHECKING:
--- a/tests/fakes/tasks.py
+++ b/tests/fakes/tasks.py
@@ -10,7 +10,8 @@
 from tests.fakes.event_queue import EventQueue
 
 if TYPE_CHECKING:
-    from tests.fakes.agent import FakeAgent, FakeTask
+    from tests.fakes.agent import FakeAgent
+    from tests.fakes.agent_tasks import FakeTask
 
 #: run time of a task that has been completed before
 REPEATED_RUN_S = 0.2
