The first plan is left to the scaling cycle

Machines were rented one by one instead of nine at once.

Cause: the plan that is kept current while the cloud does not answer was also computed for a shard that had no plan yet, just before the first scaling cycle. The average of the arrays' target then began at 0, before the first job came, and rose with the time constant of a boot.

Change: a plan is computed anew only if there is one.

--- a/marblestair/core/capacity/fleet.py
+++ b/marblestair/core/capacity/fleet.py
@@ -87,9 +87,10 @@
         """
         while self._leadership.shards.get(shard.shard_id) is shard:
             yield Sleep(CYCLE_PAUSE_S)
-            plan_age_s = self._context.now - self._planner.computed_at
+            computed_at = self._planner.computed_at
             if (
-                plan_age_s > MAX_PLAN_AGE_S
+                computed_at is not None
+                and self._context.now - computed_at > MAX_PLAN_AGE_S
                 and self._leadership.is_leader(shard.shard_id)
                 and self._catalog.types
                 and not shard.unreconciled_machines
--- a/marblestair/core/capacity/fleet_planner.py
+++ b/marblestair/core/capacity/fleet_planner.py
@@ -57,8 +57,8 @@
         self._average_cpus: float | None = None
         self._logged_at: float | None = None
         self.withheld = WithheldCapacity(context)
-        #: monotonic time of the latest plan
-        self.computed_at = context.now
+        #: monotonic time of the latest plan; None before the first
+        self.computed_at: float | None = None
 
     def compute(self) -> Plan:
         """Compute the plan, and update the part of it that placement uses."""
--- a/tests/core/capacity/test_planning.py
+++ b/tests/core/capacity/test_planning.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import inspect
+from collections.abc import Callable
+
 from marblestair.core.capacity.planning import plan
-from marblestair.core.capacity.provisioning import AvailableMachine, JobLoad, Tuning
+from marblestair.core.capacity.provisioning import AvailableMachine, JobLoad, Plan, Tuning
 from tests.fakes.samples import MACHINE_TYPES, job_spec
 from tests.fakes.simulated_deployment import SimulatedDeployment
 from tests.helpers import start_deployment
@@ -58,3 +61,35 @@
     # machines would be reserved and idle.
     assert not not_startable_soon & planned_tasks(deployment).keys()
     assert not deployment.rules.violations
+
+
+def test_the_first_plan_is_made_by_the_scaling_cycle() -> None:
+    """Guards against an early first plan without any demand.
+
+    The target of arrays is averaged over time. An average that begins at 0 before the first jobs
+    arrive lets the fleet grow one machine at a time.
+    """
+    deployment = SimulatedDeployment(5)
+    assert deployment.run_until(
+        lambda: any(controller.leadership.led_shards() for controller in deployment.nodes.running),
+        10.0,
+    )
+    led_at = deployment.now
+    planners = [
+        controller.capacity_services.fleet_planner for controller in deployment.nodes.running
+    ]
+    compute_calls: list[float] = []
+    for planner in planners:
+        compute = planner.compute
+
+        def record(compute: Callable[[], Plan] = compute) -> Plan:
+            frame = inspect.stack()[1].function
+            if frame == "_keep_plan_current":
+                compute_calls.append(deployment.now)
+            return compute()
+
+        planner.compute = record  # type: ignore[method-assign]
+    deployment.run(10.0)
+    assert all(planner.computed_at is not None for planner in planners)
+    assert deployment.now - led_at > 9.0
+    assert not compute_calls
